--- /dev/null
+++ b/crates/caller/src/completion.rs
@@ -0,0 +1,123 @@
+//! Completions and chat completions.
+
+use std::borrow::Cow;
+use std::time::Instant;
+
+use futures::StreamExt;
+use ntex::util::Bytes;
+use ntex::web::{HttpRequest, HttpResponse};
+use policy::outcome::RefusalReason;
+use policy::prefix::prompt_prefixes;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use crate::answer::{collect_whole, event_stream};
+use crate::gateway::{
+    AnswerPart, CallerGateway, CompletionKind, CompletionRequest, KeyDigest,
+};
+use crate::refusal::{outcome_response, refusal_response};
+
+/// The members of a completion's body that routing needs; the others are passed on unread.
+#[derive(Debug, Deserialize)]
+struct CompletionForm<'a> {
+    #[serde(borrow)]
+    model: Cow<'a, str>,
+    #[serde(borrow, default)]
+    prompt: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    messages: Option<&'a RawValue>,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    max_completion_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// How the caller wants its answer.
+#[derives::tag]
+enum AnswerDelivery {
+    Streamed,
+    Whole,
+}
+
+/// Answers one completion.
+pub(crate) async fn complete(
+    gateway: &dyn CallerGateway,
+    kind: CompletionKind,
+    request: &HttpRequest,
+    body: Result<Bytes, RefusalReason>,
+    arrived: Instant,
+) -> HttpResponse {
+    let parsed = body.and_then(|body| parse(kind, request, body, arrived));
+    let (completion, delivery) = match parsed {
+        Ok(parsed) => parsed,
+        Err(reason) => return refusal_response(gateway.refuse(reason)),
+    };
+    let model = completion.model.clone();
+    let mut parts = gateway.complete(completion);
+    let first = match parts.next().await {
+        Some(AnswerPart::Failed(outcome)) => return outcome_response(&outcome),
+        Some(first) => first,
+        None => AnswerPart::End,
+    };
+    match delivery {
+        AnswerDelivery::Streamed => event_stream(kind, model, first, parts),
+        AnswerDelivery::Whole => collect_whole(kind, &model, first, parts).await,
+    }
+}
+
+fn parse(
+    kind: CompletionKind,
+    request: &HttpRequest,
+    body: Bytes,
+    arrived: Instant,
+) -> Result<(CompletionRequest, AnswerDelivery), RefusalReason> {
+    let key = api_key(request)?;
+    let timeout = request_timeout(request)?;
+    let form: CompletionForm<'_> =
+        serde_json::from_slice(&body).map_err(|_| RefusalReason::BadRequest)?;
+    let prompt = match kind {
+        CompletionKind::Text => form.prompt,
+        CompletionKind::Chat => form.messages,
+    };
+    let prompt = prompt.ok_or(RefusalReason::BadRequest)?.get();
+    let delivery = if form.stream {
+        AnswerDelivery::Streamed
+    } else {
+        AnswerDelivery::Whole
+    };
+    let completion = CompletionRequest {
+        kind,
+        key,
+        model: form.model.into_owned(),
+        prompt_bytes: prompt.len() as u64,
+        prefixes: prompt_prefixes(prompt.as_bytes()),
+        max_tokens: form.max_tokens.or(form.max_completion_tokens),
+        timeout,
+        arrived,
+        body: body.clone(),
+    };
+    Ok((completion, delivery))
+}
+
+/// The digest of the API key, from `Authorization: Bearer`.
+pub(crate) fn api_key(request: &HttpRequest) -> Result<KeyDigest, RefusalReason> {
+    request
+        .headers()
+        .get("authorization")
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.strip_prefix("Bearer "))
+        .map(KeyDigest::new)
+        .ok_or(RefusalReason::UnknownAccount)
+}
+
+/// The caller's time in milliseconds, from `X-Request-Timeout-Ms`.
+pub(crate) fn request_timeout(request: &HttpRequest) -> Result<Option<u64>, RefusalReason> {
+    let Some(value) = request.headers().get("x-request-timeout-ms") else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| RefusalReason::BadRequest)?;
+    let millis = text.parse().map_err(|_| RefusalReason::BadRequest)?;
+    Ok(Some(millis))
+}
--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,15 @@
+//! HTTP towards callers: completions, chat completions, service calls.
+
+mod answer;
+mod body;
+mod completion;
+mod gateway;
+mod refusal;
+mod routes;
+mod service_call;
+
+pub use gateway::{
+    AnswerPart, AnswerStream, CallAnswer, CallRequest, CallerGateway, CompletionKind,
+    CompletionRequest, KeyDigest, Readiness,
+};
+pub use routes::{CallerLimits, configure};
--- /dev/null
+++ b/crates/caller/src/service_call.rs
@@ -0,0 +1,98 @@
+//! Calls of plain services.
+
+use std::time::Instant;
+
+use ntex::http::header::HeaderName;
+use ntex::util::Bytes;
+use ntex::web::{HttpRequest, HttpResponse};
+use policy::outcome::RefusalReason;
+use service::{ServiceAnswer, ServiceCall, end_to_end};
+
+use crate::completion::{api_key, request_timeout};
+use crate::gateway::{CallAnswer, CallRequest, CallerGateway};
+use crate::refusal::{outcome_response, refusal_response};
+
+/// Path under which services are reached.
+const SERVICE_PATH: &str = "/services/";
+
+/// Headers that are the serving layer's own and not passed on.
+const OWN_HEADERS: [&str; 2] = ["authorization", "x-request-timeout-ms"];
+
+/// Answers one service call.
+pub(crate) async fn call(
+    gateway: &dyn CallerGateway,
+    request: &HttpRequest,
+    body: Result<Bytes, RefusalReason>,
+    arrived: Instant,
+) -> HttpResponse {
+    match body.and_then(|body| parse(request, body, arrived)) {
+        Ok(call) => write_answer(gateway.call(call).await),
+        Err(reason) => refusal_response(gateway.refuse(reason)),
+    }
+}
+
+fn parse(
+    request: &HttpRequest,
+    body: Bytes,
+    arrived: Instant,
+) -> Result<CallRequest, RefusalReason> {
+    let path = request.path();
+    let rest = path
+        .strip_prefix(SERVICE_PATH)
+        .ok_or(RefusalReason::UnknownService)?;
+    let (service, inner) = rest.split_once('/').unwrap_or((rest, ""));
+    let query = request.query_string();
+    let path = if query.is_empty() {
+        format!("/{inner}")
+    } else {
+        format!("/{inner}?{query}")
+    };
+    let is_own = |name: &HeaderName| OWN_HEADERS.contains(&name.as_str());
+    let mut headers = end_to_end(request.headers());
+    headers.retain(|(name, _)| !is_own(name));
+    Ok(CallRequest {
+        key: api_key(request)?,
+        service: service.to_owned(),
+        idempotency_key: idempotency_key(request)?,
+        timeout: request_timeout(request)?,
+        arrived,
+        call: ServiceCall {
+            method: request.method().clone(),
+            path,
+            headers,
+            body,
+        },
+    })
+}
+
+fn idempotency_key(request: &HttpRequest) -> Result<String, RefusalReason> {
+    let Some(value) = request.headers().get("idempotency-key") else {
+        return Ok(String::new());
+    };
+    let text = value.to_str().map_err(|_| RefusalReason::KeyInvalid)?;
+    // The draft standard writes the key as a quoted string; bare keys are common too.
+    Ok(text.trim_matches('"').to_owned())
+}
+
+fn write_answer(answer: CallAnswer) -> HttpResponse {
+    match answer {
+        CallAnswer::Answered(answer) => pass_on(answer),
+        CallAnswer::Replayed(result) => HttpResponse::build(status(result.status))
+            .header("idempotency-replayed", "true")
+            .content_type(result.content_type.as_str())
+            .body(result.body),
+        CallAnswer::Failed(outcome) => outcome_response(&outcome),
+    }
+}
+
+fn status(code: u16) -> ntex::http::StatusCode {
+    ntex::http::StatusCode::from_u16(code).unwrap_or(ntex::http::StatusCode::BAD_GATEWAY)
+}
+
+fn pass_on(answer: ServiceAnswer) -> HttpResponse {
+    let mut response = HttpResponse::build(answer.status);
+    for (name, value) in answer.headers {
+        response.header(name, value);
+    }
+    response.body(answer.body)
+}
--- /dev/null
+++ b/crates/entry/src/announcements.rs
@@ -0,0 +1,213 @@
+//! Announcements that instances and endpoints leave, and news of crashes, passed on by peers.
+
+use std::rc::Rc;
+
+use futures::future::join_all;
+use operator::{AnnounceForm, AnnounceReport};
+use platform::{InstanceKind, InstanceState, ListedInstance};
+use policy::ids::{EndpointId, Incarnation, InstanceId};
+use policy::leaving::{
+    Announcement, LeavingKind, LeavingSubject, LeavingTable, TableChange, WorkVerdict,
+};
+use policy::poison::CrashReport;
+
+use crate::control::Control;
+use crate::lifecycle::drain_instance;
+
+impl Control {
+    /// Takes announcements, acts on those that are new and says whether there were any.
+    pub(crate) fn record_announcements(
+        self: &Rc<Self>,
+        announcements: &[Announcement],
+    ) -> TableChange {
+        let mut change = TableChange::Unchanged;
+        for announcement in announcements {
+            if self.tables.leaving.lock().record(announcement) == TableChange::Unchanged {
+                continue;
+            }
+            change = TableChange::Changed;
+            spdlog::info!("announced: {announcement:?}");
+            self.act_on(announcement);
+        }
+        change
+    }
+
+    fn act_on(self: &Rc<Self>, announcement: &Announcement) {
+        match &announcement.subject {
+            LeavingSubject::Endpoint(endpoint) => self.close_endpoint(endpoint),
+            LeavingSubject::Instance(instance) => {
+                let me = self.tables.me();
+                if *instance == me.instance && announcement.incarnation >= me.incarnation {
+                    Self::spawn(drain_instance(self.tables.clone()));
+                }
+            }
+        }
+    }
+
+    fn close_endpoint(&self, endpoint: &EndpointId) {
+        if self.tables.endpoint_verdict(endpoint) == WorkVerdict::Open {
+            return;
+        }
+        for desk in self.tables.pools.values() {
+            desk.lock().table.endpoint_leaves(endpoint);
+        }
+    }
+
+    /// Closes the leaving endpoints in tables that were made anew.
+    pub(crate) fn close_leaving_endpoints(&self) {
+        let endpoints: Vec<EndpointId> = {
+            let leaving = self.tables.leaving.lock();
+            leaving.iter().filter_map(announced_endpoint).collect()
+        };
+        for endpoint in endpoints {
+            self.close_endpoint(&endpoint);
+        }
+    }
+
+    /// Every announcement known.
+    pub(crate) fn announcements(&self) -> Vec<Announcement> {
+        let leaving: &LeavingTable = &self.tables.leaving.lock();
+        leaving.iter().cloned().collect()
+    }
+
+    /// Exchanges announcements with the instance at `address`.
+    pub(crate) async fn exchange_announcements(self: &Rc<Self>, address: &str) {
+        let ours = self.announcements();
+        self.tables.metrics.peer_messages.inc();
+        if let Ok(theirs) = self.links.announce(address, &ours).await {
+            self.record_announcements(&theirs);
+        }
+    }
+
+    /// Records an operator's announcement and tells every member of the failure domain.
+    pub(crate) async fn announce(self: &Rc<Self>, form: AnnounceForm) -> Option<AnnounceReport> {
+        let incarnation = self.incarnation_of(&form.subject)?;
+        let announcement = Announcement {
+            subject: form.subject,
+            incarnation,
+            kind: form.kind,
+        };
+        self.record_announcements(std::slice::from_ref(&announcement));
+        let mut confirmed = vec![self.tables.settings.instance.clone()];
+        let mut missing = Vec::new();
+        for (instance, heard) in self.spread_announcements().await {
+            if heard {
+                confirmed.push(instance.to_string());
+            } else {
+                missing.push(instance.to_string());
+            }
+        }
+        Some(AnnounceReport {
+            announcement,
+            confirmed,
+            missing,
+        })
+    }
+
+    /// Tells every other member what is announced, and who of them has heard it.
+    pub(crate) async fn spread_announcements(self: &Rc<Self>) -> Vec<(InstanceId, bool)> {
+        let others = self.tables.other_addresses();
+        let ours = self.announcements();
+        let calls = others.iter().map(|(instance, address)| {
+            self.tables.metrics.peer_messages.inc();
+            let call = self.links.announce(address, &ours);
+            async move { (instance.clone(), call.await.is_ok()) }
+        });
+        join_all(calls).await
+    }
+
+    /// The incarnation that an announcement made now covers; none for an unknown subject.
+    fn incarnation_of(&self, subject: &LeavingSubject) -> Option<Incarnation> {
+        match subject {
+            LeavingSubject::Endpoint(endpoint) => {
+                let settings = &self.tables.settings;
+                let services = settings.services.iter().flat_map(|one| &one.endpoints);
+                let is_engine = self.tables.engines.contains_key(endpoint);
+                let is_service = services
+                    .map(|one| one.name.as_str())
+                    .any(|name| name == endpoint.as_str());
+                (is_engine || is_service).then(|| self.endpoint_incarnation(endpoint))
+            }
+            LeavingSubject::Instance(instance) => {
+                let members = self.tables.members.lock();
+                Some(members.member(instance)?.owner.incarnation)
+            }
+        }
+    }
+
+    /// Takes the platform's list: leaving instances are announced, new incarnations open again.
+    pub(crate) async fn take_rows(self: &Rc<Self>, rows: &[ListedInstance]) {
+        let mut announcements = Vec::new();
+        for row in rows {
+            let subject = match row.kind {
+                InstanceKind::Endpoint => {
+                    self.take_endpoint_row(row);
+                    LeavingSubject::Endpoint(EndpointId::new(&row.name))
+                }
+                InstanceKind::Entry => LeavingSubject::Instance(InstanceId::new(&row.name)),
+            };
+            if row.state == InstanceState::Leaving {
+                announcements.push(Announcement {
+                    subject,
+                    incarnation: row.incarnation,
+                    kind: LeavingKind::Leave,
+                });
+            }
+        }
+        if self.record_announcements(&announcements) == TableChange::Changed {
+            self.spread_announcements().await;
+        }
+    }
+
+    fn take_endpoint_row(&self, row: &ListedInstance) {
+        let endpoint = EndpointId::new(&row.name);
+        {
+            let mut listed = self.tables.listed.lock();
+            let known = listed.entry(endpoint.clone()).or_default();
+            *known = row.incarnation.max(*known);
+        }
+        if self.tables.endpoint_verdict(&endpoint) == WorkVerdict::Open {
+            for desk in self.tables.pools.values() {
+                desk.lock().table.endpoint_returned(&endpoint);
+            }
+        }
+    }
+
+    /// Tells every instance that can be reached of a crash, in all failure domains.
+    pub(crate) async fn spread_crash(self: Rc<Self>, report: CrashReport) {
+        let mut addresses: Vec<String> = self
+            .tables
+            .other_addresses()
+            .into_iter()
+            .map(|(_, address)| address)
+            .collect();
+        for domain in &self.tables.settings.other_domains {
+            addresses.extend(domain.peers.iter().map(ToString::to_string));
+        }
+        let calls = addresses.iter().map(|address| {
+            self.tables.metrics.peer_messages.inc();
+            self.links.crashed(address, &report)
+        });
+        join_all(calls).await;
+    }
+
+    /// Takes the fingerprints that the instance at `address` has quarantined.
+    pub(crate) async fn fetch_quarantine(&self, address: &str) {
+        self.tables.metrics.peer_messages.inc();
+        let Ok(prints) = self.links.quarantined(address).await else {
+            return;
+        };
+        let now = self.tables.now();
+        let mut poison = self.tables.poison.lock();
+        for print in prints {
+            poison.quarantine(print, now);
+        }
+    }
+}
+
+fn announced_endpoint(announcement: &Announcement) -> Option<EndpointId> {
+    match &announcement.subject {
+        LeavingSubject::Endpoint(endpoint) => Some(endpoint.clone()),
+        LeavingSubject::Instance(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/completion.rs
@@ -0,0 +1,551 @@
+//! Drives one completion: carries out the decisions of `policy::flow`.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use caller::{AnswerPart, AnswerStream, CompletionKind};
+use engine::{EngineClient, EngineFrame, FrameStream, HttpEngines, MemoryOrder, OpenFault,
+    StreamOrder};
+use futures::StreamExt;
+use futures::stream::unfold;
+use ntex::util::Bytes;
+use policy::flow::{EndpointEvidence, FlowEvent, FlowStep, RequestFlow, RetryGate};
+use policy::frame::FrameKind;
+use policy::ids::{AccountId, AttemptId, EndpointId, Millis, RequestId};
+use policy::outcome::{Refusal, RefusalReason, RequestOutcome, RetryReason, UnfinishedReason};
+use policy::poison::{CrashReport, Fingerprint, PoisonVerdict};
+use policy::pool::{GrantAsk, Sharing};
+use policy::prefix::{BYTES_PER_TOKEN, PromptPrefix};
+use policy::retry::RetryVerdict;
+use policy::template::ModelRule;
+use tokio::time::timeout_at;
+
+use crate::control::ControlHandle;
+use crate::grants::{GrantDesk, HeldGrant};
+use crate::tables::EntryTables;
+
+/// What a worker thread serves completions with.
+#[derive(Clone)]
+pub(crate) struct CompletionDesk {
+    pub(crate) tables: Arc<EntryTables>,
+    pub(crate) control: ControlHandle,
+    pub(crate) grants: GrantDesk,
+    pub(crate) engines: Rc<HttpEngines>,
+}
+
+/// A completion that was admitted.
+pub(crate) struct AdmittedCompletion {
+    pub(crate) request: RequestId,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) account: AccountId,
+    pub(crate) weight: u32,
+    pub(crate) kind: CompletionKind,
+    pub(crate) rules: Vec<ModelRule>,
+    pub(crate) prompt_bytes: u64,
+    pub(crate) prefixes: Vec<PromptPrefix>,
+    pub(crate) output_tokens: u64,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+    pub(crate) body: Bytes,
+}
+
+/// Priority of a short prompt's stream at its engine; long ones have zero.
+const SHORT_PRIORITY: u32 = 10;
+
+/// Expected times to first token are exceeded this many times before a stream counts as silent.
+const FIRST_TOKEN_SLACK: u64 = 3;
+
+/// Serves a completion that was admitted.
+pub(crate) fn serve_completion(
+    desk: CompletionDesk,
+    completion: AdmittedCompletion,
+) -> AnswerStream {
+    let driver = CompletionDriver::new(desk, completion);
+    unfold(driver, |mut driver| async move {
+        let part = driver.next_part().await?;
+        Some((part, driver))
+    })
+    .boxed_local()
+}
+
+enum DriverState {
+    Step(FlowStep),
+    Reading,
+    Ended,
+}
+
+struct OpenStream {
+    frames: FrameStream,
+    silence: Millis,
+}
+
+/// Owns everything that a running completion holds; dropping it gives all of it back.
+struct CompletionDriver {
+    desk: CompletionDesk,
+    completion: AdmittedCompletion,
+    flow: RequestFlow,
+    state: DriverState,
+    rule: usize,
+    held: Option<HeldGrant>,
+    attempt: Option<AttemptId>,
+    stream: Option<OpenStream>,
+}
+
+impl CompletionDriver {
+    fn new(desk: CompletionDesk, completion: AdmittedCompletion) -> Self {
+        desk.tables.metrics.in_flight.inc();
+        let flow = RequestFlow::new(completion.request);
+        let state = DriverState::Step(flow.start());
+        Self {
+            desk,
+            completion,
+            flow,
+            state,
+            rule: 0,
+            held: None,
+            attempt: None,
+            stream: None,
+        }
+    }
+
+    /// The next part for the caller; none after the last.
+    async fn next_part(&mut self) -> Option<AnswerPart> {
+        loop {
+            let event = match std::mem::replace(&mut self.state, DriverState::Ended) {
+                DriverState::Ended => return None,
+                DriverState::Reading => match self.read_frame().await {
+                    Ok(frame) => match self.on_frame(frame) {
+                        Some(part) => return Some(part),
+                        None => continue,
+                    },
+                    Err(event) => event,
+                },
+                DriverState::Step(FlowStep::Finish(outcome)) => return Some(self.finish(outcome)),
+                DriverState::Step(step) => match self.carry_out(step).await {
+                    Some(event) => event,
+                    None => {
+                        self.state = DriverState::Reading;
+                        continue;
+                    }
+                },
+            };
+            self.state = DriverState::Step(self.decide(event));
+        }
+    }
+
+    /// Carries out a step within the deadline. Gives no event where a stream has been opened.
+    async fn carry_out(&mut self, step: FlowStep) -> Option<FlowEvent> {
+        let deadline = self.completion.deadline;
+        match timeout_at(deadline.into(), self.carry_out_step(step)).await {
+            Ok(event) => event,
+            Err(_) => Some(FlowEvent::DeadlineReached),
+        }
+    }
+
+    async fn carry_out_step(&mut self, step: FlowStep) -> Option<FlowEvent> {
+        match step {
+            FlowStep::AskGrant { excluded } => Some(self.ask_grant(excluded).await),
+            FlowStep::Move {
+                reason: _,
+                evidence,
+                excluded,
+            } => {
+                self.judge_endpoint(evidence);
+                self.give_back();
+                Some(self.ask_grant(excluded).await)
+            }
+            FlowStep::Open {
+                endpoint,
+                attempt,
+                offset,
+            } => self.open(&endpoint, attempt, offset).await,
+            FlowStep::Probe { endpoint } => Some(self.probe(&endpoint).await),
+            FlowStep::Deliver | FlowStep::DeliverLast | FlowStep::Finish(_) => None,
+        }
+    }
+
+    /// Asks for a grant, by the rank of the template's rules.
+    async fn ask_grant(&mut self, excluded: Vec<EndpointId>) -> FlowEvent {
+        let mut last = Refusal::new(RefusalReason::UnknownModel, 0);
+        while self.rule < self.completion.rules.len() {
+            match self.ask_by_rule(&excluded).await {
+                Ok(held) => {
+                    let endpoint = held.grant.lead().clone();
+                    self.held = Some(held);
+                    return self.check_poison(endpoint);
+                }
+                Err(refusal) => last = refusal,
+            }
+            if !is_worth_next_rule(last.reason) || self.flow.offset() > 0 {
+                break;
+            }
+            self.rule += 1;
+        }
+        FlowEvent::GrantRefused(last)
+    }
+
+    async fn ask_by_rule(&self, excluded: &[EndpointId]) -> Result<HeldGrant, Refusal> {
+        let target = self.completion.rules[self.rule].target();
+        let pool = self.desk.tables.pool_of_model(target);
+        let pool = pool.ok_or(Refusal::new(RefusalReason::UnknownModel, 0))?;
+        let ask = self.ask(excluded);
+        self.desk.grants.ask(&pool, &ask).await
+    }
+
+    fn ask(&self, excluded: &[EndpointId]) -> GrantAsk {
+        let completion = &self.completion;
+        let left = completion.deadline.saturating_duration_since(Instant::now());
+        GrantAsk {
+            owner: self.desk.tables.me(),
+            request: completion.request,
+            fingerprint: completion.fingerprint,
+            account: completion.account.clone(),
+            weight: completion.weight,
+            prompt_tokens: completion.prompt_bytes / BYTES_PER_TOKEN + 1,
+            output_tokens: completion.output_tokens,
+            prefixes: completion.prefixes.clone(),
+            time_left: millis(left),
+            sharing: match self.poison() {
+                PoisonVerdict::Clear => Sharing::Shared,
+                PoisonVerdict::Suspect | PoisonVerdict::Quarantined => Sharing::Alone,
+            },
+            excluded: excluded.to_vec(),
+        }
+    }
+
+    fn poison(&self) -> PoisonVerdict {
+        let tables = &self.desk.tables;
+        let poison = tables.poison.lock();
+        poison.verdict(self.completion.fingerprint, tables.now())
+    }
+
+    /// Looks once more before the prompt is sent: it may have been quarantined while it waited.
+    fn check_poison(&mut self, endpoint: EndpointId) -> FlowEvent {
+        if self.poison() == PoisonVerdict::Quarantined {
+            self.give_back();
+            let wait = self.desk.tables.settings.limits.quarantine_ms;
+            return FlowEvent::GrantRefused(Refusal::new(RefusalReason::Quarantined, wait));
+        }
+        FlowEvent::Granted(endpoint)
+    }
+
+    async fn open(
+        &mut self,
+        endpoint: &EndpointId,
+        attempt: AttemptId,
+        offset: u64,
+    ) -> Option<FlowEvent> {
+        self.cancel_stream();
+        if self.flow.attempts() == 1 {
+            self.desk.tables.metrics.first_attempt();
+            self.count_first_attempt(endpoint);
+        }
+        self.attempt = Some(attempt);
+        if self.import_memory(attempt).await == ImportVerdict::Failed {
+            return Some(FlowEvent::EndpointRefused);
+        }
+        let address = self.desk.tables.engines.get(endpoint)?.address;
+        let order = self.stream_order(attempt, offset);
+        match self.desk.engines.open(address, &order).await {
+            Ok(frames) => {
+                self.stream = Some(OpenStream {
+                    frames,
+                    silence: self.first_silence(),
+                });
+                None
+            }
+            Err(OpenFault::NotSent) => Some(FlowEvent::ConnectFailed),
+            Err(OpenFault::Refused) => Some(FlowEvent::EndpointRefused),
+            Err(OpenFault::Closed) => Some(FlowEvent::StreamClosed),
+            Err(OpenFault::Silent) => Some(FlowEvent::StreamSilent),
+        }
+    }
+
+    fn first_silence(&self) -> Millis {
+        let expected = self
+            .held
+            .as_ref()
+            .map_or(0, |held| held.grant.expected_first_token);
+        self.desk.tables.settings.limits.silence_ms + expected * FIRST_TOKEN_SLACK
+    }
+
+    fn stream_order(&self, attempt: AttemptId, offset: u64) -> StreamOrder {
+        let completion = &self.completion;
+        let rule = &completion.rules[self.rule];
+        let lead_tokens = self.held.as_ref().map_or(0, |held| {
+            let lead = held.grant.parts.first();
+            lead.map_or(0, |part| part.tokens)
+        });
+        let is_long =
+            completion.prompt_bytes / BYTES_PER_TOKEN > self.desk.tables.settings.limits.long_tokens;
+        StreamOrder {
+            path: completion.kind.path(),
+            attempt,
+            owner: self.desk.tables.me(),
+            offset,
+            priority: if is_long { 0 } else { SHORT_PRIORITY },
+            model: rule.target().to_owned(),
+            adapter: rule.adapter.clone(),
+            version: rule.version.clone(),
+            memory_tokens: lead_tokens,
+            body: completion.body.clone(),
+        }
+    }
+
+    /// Imports memory on the engines that share a prompt which one alone cannot hold.
+    async fn import_memory(&self, attempt: AttemptId) -> ImportVerdict {
+        let Some(held) = &self.held else {
+            return ImportVerdict::Done;
+        };
+        for part in held.grant.parts.iter().skip(1) {
+            let Some(engine) = self.desk.tables.engines.get(&part.endpoint) else {
+                return ImportVerdict::Failed;
+            };
+            let order = MemoryOrder {
+                attempt,
+                owner: held.grant.owner.clone(),
+                tokens: part.tokens,
+            };
+            let imported = self.desk.engines.import_memory(engine.address, &order);
+            if imported.await.is_err() {
+                return ImportVerdict::Failed;
+            }
+        }
+        ImportVerdict::Done
+    }
+
+    async fn probe(&mut self, endpoint: &EndpointId) -> FlowEvent {
+        self.cancel_stream();
+        let Some(engine) = self.desk.tables.engines.get(endpoint) else {
+            return FlowEvent::ProbeFailed;
+        };
+        match self.desk.engines.report(engine.address).await {
+            Ok(report) => FlowEvent::Probed(report.uptime),
+            Err(_) => FlowEvent::ProbeFailed,
+        }
+    }
+
+    async fn read_frame(&mut self) -> Result<EngineFrame, FlowEvent> {
+        let deadline = self.completion.deadline;
+        let Some(stream) = &mut self.stream else {
+            return Err(FlowEvent::StreamClosed);
+        };
+        let silent_at = Instant::now() + Duration::from_millis(stream.silence);
+        let bound = silent_at.min(deadline);
+        match timeout_at(bound.into(), stream.frames.next()).await {
+            Ok(Some(Ok(frame))) => Ok(frame),
+            Ok(Some(Err(_)) | None) => Err(FlowEvent::StreamClosed),
+            Err(_) if Instant::now() >= deadline => Err(FlowEvent::DeadlineReached),
+            Err(_) => Err(FlowEvent::StreamSilent),
+        }
+    }
+
+    /// Has a frame judged, and hands it on where it follows what the caller has.
+    fn on_frame(&mut self, frame: EngineFrame) -> Option<AnswerPart> {
+        let is_first = self.flow.offset() == 0;
+        let kind = frame.head.kind;
+        match self.decide(FlowEvent::Frame(frame.head)) {
+            FlowStep::Deliver => {
+                self.state = DriverState::Reading;
+                self.note_progress(is_first);
+                Some(AnswerPart::Text(frame.text))
+            }
+            FlowStep::DeliverLast => {
+                debug_assert_eq!(kind, FrameKind::End);
+                self.state = DriverState::Step(FlowStep::Finish(RequestOutcome::Whole));
+                if frame.text.is_empty() {
+                    return None;
+                }
+                Some(AnswerPart::Text(frame.text))
+            }
+            step => {
+                self.state = DriverState::Step(step);
+                None
+            }
+        }
+    }
+
+    fn note_progress(&mut self, is_first: bool) {
+        if let Some(stream) = &mut self.stream {
+            stream.silence = self.desk.tables.settings.limits.silence_ms;
+        }
+        if is_first {
+            let elapsed = self.completion.arrived.elapsed();
+            self.desk.tables.metrics.first_token(elapsed.as_secs_f64());
+        }
+    }
+
+    fn decide(&mut self, event: FlowEvent) -> FlowStep {
+        let mut gate = BudgetGate {
+            tables: &self.desk.tables,
+            account: &self.completion.account,
+        };
+        let now = self.desk.tables.now();
+        self.flow.on_event(event, now, &mut gate)
+    }
+
+    fn count_first_attempt(&self, endpoint: &EndpointId) {
+        let mut budgets = self.desk.tables.budgets.lock();
+        let account = &self.completion.account;
+        budgets.accounts.budget(account).first_attempt();
+        budgets.endpoints.budget(endpoint).first_attempt();
+    }
+
+    /// Tells the steward, and where the endpoint died also the other instances.
+    fn judge_endpoint(&self, evidence: EndpointEvidence) {
+        let Some(held) = &self.held else {
+            return;
+        };
+        let endpoint = held.grant.lead();
+        match evidence {
+            EndpointEvidence::None => {}
+            EndpointEvidence::Unreachable => {
+                self.desk.grants.endpoint_failed(&held.pool, endpoint);
+            }
+            EndpointEvidence::Crashed => {
+                self.desk.grants.endpoint_failed(&held.pool, endpoint);
+                self.report_crash(endpoint.clone());
+            }
+        }
+    }
+
+    fn report_crash(&self, endpoint: EndpointId) {
+        let tables = &self.desk.tables;
+        tables.metrics.endpoint_crashes.inc();
+        let report = CrashReport {
+            fingerprint: self.completion.fingerprint,
+            endpoint,
+        };
+        let now = tables.now();
+        tables.poison.lock().record(&report, now);
+        self.desk
+            .control
+            .post(async move |control| control.spread_crash(report).await);
+    }
+
+    /// Cancels the running stream; the engine is asked again until it has answered.
+    fn cancel_stream(&mut self) {
+        self.stream = None;
+        let Some(attempt) = self.attempt.take() else {
+            return;
+        };
+        let Some(held) = &self.held else {
+            return;
+        };
+        for (index, part) in held.grant.parts.iter().enumerate() {
+            let Some(engine) = self.desk.tables.engines.get(&part.endpoint) else {
+                continue;
+            };
+            let address = engine.address;
+            let held = if index == 0 {
+                EngineHold::Stream
+            } else {
+                EngineHold::Memory
+            };
+            self.desk
+                .control
+                .post(async move |control| control.disown(address, attempt, held).await);
+        }
+    }
+
+    /// Returns everything that the present grant holds.
+    fn give_back(&mut self) {
+        self.cancel_stream();
+        if let Some(held) = self.held.take() {
+            self.desk.grants.release(&held);
+        }
+    }
+
+    fn finish(&mut self, outcome: RequestOutcome) -> AnswerPart {
+        let tables = self.desk.tables.clone();
+        match &outcome {
+            RequestOutcome::Whole => {
+                tables.metrics.whole();
+                let now = tables.now();
+                let mut poison = tables.poison.lock();
+                poison.finished(self.completion.fingerprint, now);
+                drop(poison);
+                self.forget_ended_stream();
+            }
+            RequestOutcome::NotRun(refusal) => tables.metrics.refused(refusal.reason),
+            RequestOutcome::Unfinished(reason) => tables.metrics.unfinished(*reason),
+        }
+        self.give_back();
+        match outcome {
+            RequestOutcome::Whole => AnswerPart::End,
+            other => AnswerPart::Failed(other),
+        }
+    }
+
+    /// A stream that has sent its end mark needs no cancelling, unless it holds memory elsewhere.
+    fn forget_ended_stream(&mut self) {
+        let parts = self.held.as_ref().map_or(0, |held| held.grant.parts.len());
+        if parts <= 1 {
+            self.attempt = None;
+        }
+    }
+}
+
+impl Drop for CompletionDriver {
+    fn drop(&mut self) {
+        if !matches!(self.state, DriverState::Ended) || self.held.is_some() {
+            let reason = UnfinishedReason::CallerGone;
+            self.desk.tables.metrics.unfinished(reason);
+        }
+        self.give_back();
+        self.desk.tables.metrics.in_flight.dec();
+    }
+}
+
+/// What an engine holds for an attempt.
+#[derives::tag]
+pub(crate) enum EngineHold {
+    /// A running stream.
+    Stream,
+    /// Imported memory.
+    Memory,
+}
+
+#[derives::tag]
+enum ImportVerdict {
+    Done,
+    Failed,
+}
+
+/// Whether a worse-ranked rule may serve what a better one could not.
+fn is_worth_next_rule(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::Overloaded
+            | RefusalReason::NoEndpoint
+            | RefusalReason::AccountLimit
+            | RefusalReason::UnknownModel
+            | RefusalReason::PromptTooLarge
+    )
+}
+
+/// Counts retries against the budgets of an account and of an endpoint.
+pub(crate) struct BudgetGate<'a> {
+    pub(crate) tables: &'a EntryTables,
+    pub(crate) account: &'a AccountId,
+}
+
+impl RetryGate for BudgetGate<'_> {
+    fn retry(&mut self, endpoint: &EndpointId, reason: RetryReason) -> RetryVerdict {
+        let mut budgets = self.tables.budgets.lock();
+        let by_account = budgets.accounts.budget(self.account).retry();
+        if by_account == RetryVerdict::Spent {
+            return RetryVerdict::Spent;
+        }
+        let by_endpoint = budgets.endpoints.budget(endpoint).retry();
+        if by_endpoint == RetryVerdict::Allowed {
+            self.tables.metrics.retried(reason);
+        }
+        by_endpoint
+    }
+}
+
+fn millis(duration: Duration) -> Millis {
+    Millis::try_from(duration.as_millis()).unwrap_or(Millis::MAX)
+}
--- /dev/null
+++ b/crates/entry/src/gateway.rs
@@ -0,0 +1,184 @@
+//! Admission of the callers' requests, on one worker thread.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::time::{Duration, Instant};
+
+use caller::{
+    AnswerPart, AnswerStream, CallAnswer, CallRequest, CallerGateway, CompletionRequest, KeyDigest,
+    Readiness,
+};
+use engine::HttpEngines;
+use futures::future::LocalBoxFuture;
+use futures::stream::once;
+use futures::{FutureExt, StreamExt};
+use policy::ids::{AccountId, Millis, RequestId};
+use policy::outcome::{Refusal, RefusalReason, RequestOutcome};
+use policy::poison::{Fingerprint, PoisonVerdict};
+use policy::template::{AccountTemplate, ConfigBook, ModelRule};
+use service::HttpServices;
+use uuid::Uuid;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::completion::{AdmittedCompletion, CompletionDesk, serve_completion};
+use crate::control::ControlHandle;
+use crate::grants::GrantDesk;
+use crate::service_calls::{AdmittedCall, CallDesk};
+use crate::tables::EntryTables;
+
+/// When a caller that found this instance not ready may come back, in milliseconds.
+const NOT_READY_RETRY: Millis = 1_000;
+
+/// Serves callers on one worker thread.
+pub(crate) struct WorkerGateway {
+    tables: Arc<EntryTables>,
+    completions: CompletionDesk,
+    calls: CallDesk,
+}
+
+impl WorkerGateway {
+    pub(crate) async fn new(tables: Arc<EntryTables>, control: ControlHandle) -> Self {
+        let limits = &tables.settings.limits;
+        let connect = Duration::from_millis(limits.connect_ms);
+        let head = Duration::from_millis(limits.silence_ms);
+        let grants = GrantDesk::new(tables.clone(), control.clone());
+        Self {
+            completions: CompletionDesk {
+                tables: tables.clone(),
+                control: control.clone(),
+                grants,
+                engines: Rc::new(HttpEngines::new(connect, head).await),
+            },
+            calls: CallDesk {
+                tables: tables.clone(),
+                control,
+                services: Rc::new(HttpServices::new(connect).await),
+                rotation: Rc::new(AtomicUsize::new(0)),
+            },
+            tables,
+        }
+    }
+
+    /// The account and template of an API key.
+    fn account(&self, key: &KeyDigest) -> Result<(AccountId, AccountTemplate), RefusalReason> {
+        if !self.tables.may_admit() {
+            return Err(RefusalReason::NotReady);
+        }
+        let config = self.tables.config.read();
+        let account = config
+            .account_by_key(key.as_str())
+            .ok_or(RefusalReason::UnknownAccount)?;
+        let template = config
+            .template(&account.template)
+            .ok_or(RefusalReason::UnknownAccount)?;
+        Ok((account.name.clone(), template.clone()))
+    }
+
+    fn deadline(&self, arrived: Instant, timeout: Option<u64>) -> Instant {
+        let limits = &self.tables.settings.limits;
+        let time = timeout.unwrap_or(limits.default_timeout_ms);
+        arrived + Duration::from_millis(time.min(limits.largest_timeout_ms))
+    }
+
+    fn admit_completion(
+        &self,
+        request: CompletionRequest,
+    ) -> Result<AdmittedCompletion, RefusalReason> {
+        let (account, template) = self.account(&request.key)?;
+        let rules: Vec<ModelRule> = ConfigBook::ranked_rules(&template, &request.model)
+            .into_iter()
+            .cloned()
+            .collect();
+        if rules.is_empty() {
+            return Err(RefusalReason::UnknownModel);
+        }
+        let fingerprint = fingerprint(&account, &request.body);
+        let now = self.tables.now();
+        let verdict = self.tables.poison.lock().verdict(fingerprint, now);
+        if verdict == PoisonVerdict::Quarantined {
+            return Err(RefusalReason::Quarantined);
+        }
+        Ok(AdmittedCompletion {
+            request: RequestId(Uuid::now_v7().as_u128()),
+            fingerprint,
+            account,
+            weight: template.weight,
+            kind: request.kind,
+            rules,
+            prompt_bytes: request.prompt_bytes,
+            prefixes: request.prefixes,
+            output_tokens: request.max_tokens.unwrap_or(template.output_tokens),
+            arrived: request.arrived,
+            deadline: self.deadline(request.arrived, request.timeout),
+            body: request.body,
+        })
+    }
+
+    fn admit_call(&self, request: CallRequest) -> Result<AdmittedCall, RefusalReason> {
+        let (account, template) = self.account(&request.key)?;
+        let rule = template
+            .services
+            .iter()
+            .find(|rule| rule.service == request.service)
+            .ok_or(RefusalReason::UnknownService)?;
+        let services = &self.tables.settings.services;
+        if !services.iter().any(|one| one.name == request.service) {
+            return Err(RefusalReason::UnknownService);
+        }
+        Ok(AdmittedCall {
+            account,
+            calls: rule.calls,
+            deadline: self.deadline(request.arrived, request.timeout),
+            request,
+        })
+    }
+}
+
+impl CallerGateway for WorkerGateway {
+    fn complete(&self, request: CompletionRequest) -> AnswerStream {
+        match self.admit_completion(request) {
+            Ok(completion) => serve_completion(self.completions.clone(), completion),
+            Err(reason) => {
+                let outcome = RequestOutcome::NotRun(self.refuse(reason));
+                once(async { AnswerPart::Failed(outcome) }).boxed_local()
+            }
+        }
+    }
+
+    fn call(&self, request: CallRequest) -> LocalBoxFuture<'static, CallAnswer> {
+        match self.admit_call(request) {
+            Ok(admitted) => self.calls.clone().serve(admitted).boxed_local(),
+            Err(reason) => {
+                let outcome = RequestOutcome::NotRun(self.refuse(reason));
+                async { CallAnswer::Failed(outcome) }.boxed_local()
+            }
+        }
+    }
+
+    fn refuse(&self, reason: RefusalReason) -> Refusal {
+        self.tables.metrics.refused(reason);
+        let retry_after = match reason {
+            RefusalReason::NotReady => NOT_READY_RETRY,
+            RefusalReason::Quarantined => self.tables.settings.limits.quarantine_ms,
+            _ => 0,
+        };
+        Refusal::new(reason, retry_after)
+    }
+
+    fn readiness(&self) -> Readiness {
+        if self.tables.is_ready() {
+            return Readiness::Ready;
+        }
+        Readiness::NotReady
+    }
+
+    fn metrics(&self) -> String {
+        self.tables.metrics.render()
+    }
+}
+
+fn fingerprint(account: &AccountId, body: &[u8]) -> Fingerprint {
+    let seed = xxh3_64_with_seed(account.as_str().as_bytes(), 0);
+    Fingerprint(xxh3_64_with_seed(body, seed))
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,24 @@
+//! Composition of an entry instance: the library that users embed, and the thin daemon's core.
+//!
+//! Worker threads serve callers; one control thread speaks with peers and the platform. They
+//! share the tables of [`tables`], whose lock order is stated there.
+
+mod announcements;
+mod claims;
+mod clock;
+mod completion;
+mod configuration;
+mod control;
+mod domain_rollout;
+mod gateway;
+mod grants;
+mod lifecycle;
+mod membership;
+mod operators;
+mod peer_answers;
+mod service_calls;
+mod start;
+mod stewardship;
+mod tables;
+
+pub use start::{RunningEntry, StartFault, start_entry};
--- /dev/null
+++ b/crates/entry/src/operators.rs
@@ -0,0 +1,139 @@
+//! Answers the operators' requests, on the operators' server thread.
+
+use std::sync::Arc;
+
+use futures::FutureExt;
+use operator::{
+    AnnounceForm, AnnounceReport, ChangeReport, ChangeRequest, DocumentView, EndpointStatus,
+    HistoryRow, InstanceStatus, MemberStatusRow, OperatorFault, OperatorFuture, OperatorGateway,
+    PoolStatus,
+};
+use policy::ids::{EndpointId, PoolId};
+use policy::leaving::WorkVerdict;
+use policy::rollout::RolloutVerdict;
+
+use crate::control::ControlHandle;
+use crate::tables::{EntryTables, PoolDesk, StewardRole};
+
+/// Hands the operators' requests to the control thread.
+pub(crate) struct OperatorDesk {
+    tables: Arc<EntryTables>,
+    control: ControlHandle,
+}
+
+impl OperatorDesk {
+    pub(crate) fn new(tables: Arc<EntryTables>, control: ControlHandle) -> Self {
+        Self { tables, control }
+    }
+
+    fn pool_status(&self, pool: &PoolId, desk: &PoolDesk) -> PoolStatus {
+        let counts = desk.table.counts();
+        let endpoints = desk.table.endpoints().map(|(endpoint, state)| EndpointStatus {
+            endpoint: endpoint.to_string(),
+            leaving: false,
+            running: state.running(),
+            used_tokens: state.used_tokens(),
+        });
+        PoolStatus {
+            pool: pool.to_string(),
+            endpoints: endpoints.collect(),
+            waiting: counts.short_waiting + counts.long_waiting,
+            lane_size: counts.lane_size,
+        }
+    }
+
+    /// The pools that this instance keeps.
+    fn pools(&self) -> Vec<PoolStatus> {
+        let mut pools = Vec::new();
+        for (pool, desk) in &self.tables.pools {
+            let desk = desk.lock();
+            if self.tables.keeps(&desk) == StewardRole::Steward {
+                pools.push(self.pool_status(pool, &desk));
+            }
+        }
+        // The verdicts lock tables that come before the desks, so they are asked for afterwards.
+        for row in pools.iter_mut().flat_map(|pool| &mut pool.endpoints) {
+            let endpoint = EndpointId::new(&row.endpoint);
+            row.leaving = self.tables.endpoint_verdict(&endpoint) == WorkVerdict::Leaving;
+        }
+        pools
+    }
+}
+
+impl OperatorGateway for OperatorDesk {
+    fn change(&self, request: ChangeRequest) -> OperatorFuture<'_, ChangeReport> {
+        async move {
+            self.control
+                .run(async move |control| control.change(request).await)
+                .await
+                .unwrap_or(Err(OperatorFault::Uncertain))
+        }
+        .boxed_local()
+    }
+
+    fn rollout(&self, version: u64) -> OperatorFuture<'_, RolloutVerdict> {
+        async move {
+            self.control
+                .run(async move |control| control.ask_rollout(version).await)
+                .await
+                .unwrap_or(Err(OperatorFault::Uncertain))
+        }
+        .boxed_local()
+    }
+
+    fn documents(&self, prefix: &str) -> Vec<DocumentView> {
+        let config = self.tables.config.read();
+        config
+            .iter()
+            .filter(|document| document.key.starts_with(prefix))
+            .map(|document| DocumentView {
+                key: document.key.clone(),
+                version: document.version,
+                body: document.body.clone(),
+            })
+            .collect()
+    }
+
+    fn history<'a>(&'a self, key: &'a str) -> OperatorFuture<'a, Vec<HistoryRow>> {
+        async move {
+            let key = key.to_owned();
+            self.control
+                .run(async move |control| control.history(&key).await)
+                .await
+                .unwrap_or(Err(OperatorFault::PlatformDown))
+        }
+        .boxed_local()
+    }
+
+    fn announce(&self, form: AnnounceForm) -> OperatorFuture<'_, AnnounceReport> {
+        async move {
+            self.control
+                .run(async move |control| control.announce(form).await)
+                .await
+                .flatten()
+                .ok_or(OperatorFault::Unknown)
+        }
+        .boxed_local()
+    }
+
+    fn status(&self) -> InstanceStatus {
+        let tables = &self.tables;
+        let members = tables.members.lock().snapshot();
+        let members = members.into_iter().map(|update| MemberStatusRow {
+            instance: update.owner.instance.to_string(),
+            incarnation: update.owner.incarnation.0,
+            status: update.status,
+        });
+        let announcements = tables.leaving.lock().iter().cloned().collect();
+        InstanceStatus {
+            instance: tables.settings.instance.clone(),
+            failure_domain: tables.settings.failure_domain.clone(),
+            ready: tables.is_ready(),
+            in_flight: tables.metrics.in_flight.get(),
+            config_version: tables.config.read().version(),
+            members: members.collect(),
+            announcements,
+            pools: self.pools(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer-schema/schema/peer.capnp
@@ -0,0 +1,113 @@
+@0xd3c5a1f6b2e84790;
+# Messages between entry instances.
+
+struct Owner {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+enum Status {
+  alive @0;
+  suspect @1;
+  dead @2;
+  left @3;
+}
+
+struct Update {
+  owner @0 :Owner;
+  refutation @1 :UInt32;
+  status @2 :Status;
+  address @3 :Text;
+}
+
+# What an instance knows, in brief; a difference makes the other ask for the rest.
+struct Digest {
+  configVersion @0 :UInt64;
+  leaving @1 :UInt64;
+  quarantine @2 :UInt64;
+}
+
+struct Prefix {
+  hash @0 :UInt64;
+  tokens @1 :UInt64;
+}
+
+enum Sharing {
+  shared @0;
+  alone @1;
+}
+
+struct Ask {
+  owner @0 :Owner;
+  requestHigh @1 :UInt64;
+  requestLow @2 :UInt64;
+  account @3 :Text;
+  weight @4 :UInt32;
+  promptTokens @5 :UInt64;
+  outputTokens @6 :UInt64;
+  prefixes @7 :List(Prefix);
+  timeLeft @8 :UInt64;
+  sharing @9 :Sharing;
+  excluded @10 :List(Text);
+  fingerprint @11 :UInt64;
+}
+
+struct Part {
+  endpoint @0 :Text;
+  tokens @1 :UInt64;
+}
+
+struct Decision {
+  union {
+    granted :group {
+      id @0 :UInt64;
+      parts @1 :List(Part);
+      firstToken @2 :UInt64;
+    }
+    refused :group {
+      reason @3 :Text;
+      retryAfter @4 :UInt64;
+    }
+  }
+}
+
+struct Crash {
+  fingerprint @0 :UInt64;
+  endpoint @1 :Text;
+}
+
+interface Peer {
+  # Carries changes of membership both ways and proves the connection.
+  probe @0 (from :Text, updates :List(Update), digest :Digest)
+        -> (updates :List(Update), digest :Digest);
+
+  # Probes another instance on the caller's behalf.
+  relay @1 (address :Text) -> (answered :Bool);
+
+  # Asks the steward of a pool for a grant; answers when it is decided.
+  ask @2 (pool :Text, ask :Ask) -> (decision :Decision);
+
+  # Returns a grant.
+  release @3 (pool :Text, id :UInt64);
+
+  # Merges announcements (JSON) and answers with all that are known.
+  announce @4 (announcements :Text) -> (announcements :Text);
+
+  # Configuration documents (JSON) after a version.
+  documents @5 (since :UInt64) -> (version :UInt64, documents :Text);
+
+  # Puts documents (JSON) in force; answers with the version and the members known.
+  apply @6 (documents :Text) -> (version :UInt64, members :List(Update));
+
+  # Puts documents in force in the whole failure domain; answers with a report (JSON).
+  rollout @7 (version :UInt64, documents :Text) -> (report :Text);
+
+  # Tells of an endpoint that crashed while a prompt ran on it.
+  crashed @8 (crash :Crash);
+
+  # Tells that an endpoint failed, so that its steward leaves it alone for a while.
+  failed @9 (pool :Text, endpoint :Text);
+
+  # Crash reports of prompts that are quarantined.
+  quarantined @10 () -> (fingerprints :List(UInt64));
+}
--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,368 @@
+//! Connections to other entry instances, one to each, replaced when silent.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::Future;
+use std::time::Duration;
+
+use capnp::Error;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use futures::AsyncReadExt;
+use peer_schema::peer_capnp::peer;
+use policy::ids::{EndpointId, PoolId};
+use policy::leaving::Announcement;
+use policy::poison::{CrashReport, Fingerprint};
+use policy::pool::{GrantAsk, GrantDecision, GrantId};
+use policy::rollout::DomainReport;
+use policy::template::ConfigDocument;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::handler::{ApplyReport, DocumentBatch, ProbeMessage, RelayVerdict};
+use crate::message::{
+    from_json, list_length, read_decision, read_digest, read_updates, to_json, write_ask, write_digest,
+    write_updates,
+};
+
+/// Why a message has no answer.
+#[derives::tag]
+pub enum PeerFault {
+    /// No connection could be made.
+    Unreachable,
+    /// No answer came in time, or the connection broke; the message may have been acted on.
+    AnswerLost,
+}
+
+struct OpenLink {
+    client: peer::Client,
+    task: AbortHandle,
+}
+
+impl Drop for OpenLink {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Connections to other entry instances, of one thread.
+///
+/// Invariant: a message that gets no answer in time closes its connection, so that the next one
+/// goes over a new connection.
+pub struct PeerLinks {
+    open: RefCell<HashMap<String, OpenLink>>,
+    answer_time: Duration,
+}
+
+impl std::fmt::Debug for PeerLinks {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("PeerLinks")
+            .field("open", &self.open.borrow().len())
+            .finish_non_exhaustive()
+    }
+}
+
+impl PeerLinks {
+    /// No connections yet; messages get `answer_time` for their answers.
+    #[must_use]
+    pub fn new(answer_time: Duration) -> Self {
+        Self {
+            open: RefCell::new(HashMap::new()),
+            answer_time,
+        }
+    }
+
+    /// Closes the connection to an instance; messages that wait on it fail.
+    pub fn close(&self, address: &str) {
+        self.open.borrow_mut().remove(address);
+    }
+
+    async fn client(&self, address: &str) -> Result<peer::Client, PeerFault> {
+        if let Some(link) = self.open.borrow().get(address)
+            && !link.task.is_finished()
+        {
+            return Ok(link.client.clone());
+        }
+        let connect = TcpStream::connect(address);
+        let stream = match timeout(self.answer_time, connect).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(_)) | Err(_) => return Err(PeerFault::Unreachable),
+        };
+        stream
+            .set_nodelay(true)
+            .map_err(|_| PeerFault::Unreachable)?;
+        let link = open_link(stream);
+        let client = link.client.clone();
+        self.open.borrow_mut().insert(address.to_owned(), link);
+        Ok(client)
+    }
+
+    /// Runs one exchange; a connection without an answer in time is closed.
+    async fn exchange<A, F>(
+        &self,
+        address: &str,
+        time: Duration,
+        call: impl FnOnce(peer::Client) -> F,
+    ) -> Result<A, PeerFault>
+    where
+        F: Future<Output = Result<A, Error>>,
+    {
+        let client = self.client(address).await?;
+        if let Ok(Ok(answer)) = timeout(time, call(client)).await {
+            return Ok(answer);
+        }
+        self.close(address);
+        Err(PeerFault::AnswerLost)
+    }
+
+    /// Probes an instance and takes its changes of membership.
+    ///
+    /// # Errors
+    ///
+    /// When no answer came.
+    pub async fn probe(
+        &self,
+        address: &str,
+        message: &ProbeMessage,
+    ) -> Result<ProbeMessage, PeerFault> {
+        self.exchange(address, self.answer_time, async |client| {
+            let mut request = client.probe_request();
+            let mut form = request.get();
+            form.set_from(&message.from);
+            let length = list_length(message.updates.len())?;
+            write_updates(form.reborrow().init_updates(length), &message.updates);
+            write_digest(form.init_digest(), message.digest);
+            let answer = request.send().promise.await?;
+            let form = answer.get()?;
+            Ok(ProbeMessage {
+                from: address.to_owned(),
+                updates: read_updates(form.get_updates()?)?,
+                digest: read_digest(form.get_digest()?),
+            })
+        })
+        .await
+    }
+
+    /// Has `relay` probe the instance at `address`.
+    ///
+    /// # Errors
+    ///
+    /// When the relay gave no answer.
+    pub async fn relay(&self, relay: &str, address: &str) -> Result<RelayVerdict, PeerFault> {
+        self.exchange(relay, self.answer_time * 2, async |client| {
+            let mut request = client.relay_request();
+            request.get().set_address(address);
+            let answer = request.send().promise.await?;
+            Ok(if answer.get()?.get_answered() {
+                RelayVerdict::Answered
+            } else {
+                RelayVerdict::Silent
+            })
+        })
+        .await
+    }
+
+    /// Asks a steward for a grant and waits until it is decided, at most the request's time.
+    ///
+    /// # Errors
+    ///
+    /// When no decision came; the grant may have been given and is then found by its owner's
+    /// streams missing from the engine's list.
+    pub async fn ask(
+        &self,
+        address: &str,
+        pool: &PoolId,
+        ask: &GrantAsk,
+    ) -> Result<GrantDecision, PeerFault> {
+        let client = self.client(address).await?;
+        let call = async {
+            let mut request = client.ask_request();
+            let mut form = request.get();
+            form.set_pool(pool.as_str());
+            write_ask(form.init_ask(), ask)?;
+            let answer = request.send().promise.await?;
+            read_decision(answer.get()?.get_decision()?, ask)
+        };
+        let time = Duration::from_millis(ask.time_left) + self.answer_time;
+        match timeout(time, call).await {
+            Ok(Ok(decision)) => Ok(decision),
+            Ok(Err(_)) | Err(_) => Err(PeerFault::AnswerLost),
+        }
+    }
+
+    /// Returns a grant to its steward.
+    ///
+    /// # Errors
+    ///
+    /// When no answer came.
+    pub async fn release(
+        &self,
+        address: &str,
+        pool: &PoolId,
+        grant: GrantId,
+    ) -> Result<(), PeerFault> {
+        self.exchange(address, self.answer_time, async |client| {
+            let mut request = client.release_request();
+            request.get().set_pool(pool.as_str());
+            request.get().set_id(grant.0);
+            request.send().promise.await?;
+            Ok(())
+        })
+        .await
+    }
+
+    /// Passes announcements on and takes those that the other knows.
+    ///
+    /// # Errors
+    ///
+    /// When no answer came.
+    pub async fn announce(
+        &self,
+        address: &str,
+        announcements: &[Announcement],
+    ) -> Result<Vec<Announcement>, PeerFault> {
+        self.exchange(address, self.answer_time, async |client| {
+            let mut request = client.announce_request();
+            request.get().set_announcements(to_json(&announcements)?);
+            let answer = request.send().promise.await?;
+            from_json(answer.get()?.get_announcements()?.to_str()?)
+        })
+        .await
+    }
+
+    /// Reads the configuration documents after a version.
+    ///
+    /// # Errors
+    ///
+    /// When no answer came.
+    pub async fn documents(&self, address: &str, since: u64) -> Result<DocumentBatch, PeerFault> {
+        self.exchange(address, self.answer_time, async |client| {
+            let mut request = client.documents_request();
+            request.get().set_since(since);
+            let answer = request.send().promise.await?;
+            let form = answer.get()?;
+            Ok(DocumentBatch {
+                version: form.get_version(),
+                documents: from_json(form.get_documents()?.to_str()?)?,
+            })
+        })
+        .await
+    }
+
+    /// Has an instance put documents in force.
+    ///
+    /// # Errors
+    ///
+    /// When no confirmation came.
+    pub async fn apply(
+        &self,
+        address: &str,
+        documents: &[ConfigDocument],
+    ) -> Result<ApplyReport, PeerFault> {
+        self.exchange(address, self.answer_time, async |client| {
+            let mut request = client.apply_request();
+            request.get().set_documents(to_json(&documents)?);
+            let answer = request.send().promise.await?;
+            let form = answer.get()?;
+            Ok(ApplyReport {
+                version: form.get_version(),
+                members: read_updates(form.get_members()?)?,
+            })
+        })
+        .await
+    }
+
+    /// Has an instance of another failure domain put documents in force in all of it.
+    ///
+    /// # Errors
+    ///
+    /// When no report came.
+    pub async fn rollout(
+        &self,
+        address: &str,
+        version: u64,
+        documents: &[ConfigDocument],
+    ) -> Result<DomainReport, PeerFault> {
+        self.exchange(address, self.answer_time * 3, async |client| {
+            let mut request = client.rollout_request();
+            request.get().set_version(version);
+            request.get().set_documents(to_json(&documents)?);
+            let answer = request.send().promise.await?;
+            from_json(answer.get()?.get_report()?.to_str()?)
+        })
+        .await
+    }
+
+    /// Tells an instance of a crash.
+    ///
+    /// # Errors
+    ///
+    /// When no answer came.
+    pub async fn crashed(&self, address: &str, report: &CrashReport) -> Result<(), PeerFault> {
+        self.exchange(address, self.answer_time, async |client| {
+            let mut request = client.crashed_request();
+            let mut form = request.get().init_crash();
+            form.set_fingerprint(report.fingerprint.0);
+            form.set_endpoint(report.endpoint.as_str());
+            request.send().promise.await?;
+            Ok(())
+        })
+        .await
+    }
+
+    /// Tells a steward of an endpoint that failed.
+    ///
+    /// # Errors
+    ///
+    /// When no answer came.
+    pub async fn failed(
+        &self,
+        address: &str,
+        pool: &PoolId,
+        endpoint: &EndpointId,
+    ) -> Result<(), PeerFault> {
+        self.exchange(address, self.answer_time, async |client| {
+            let mut request = client.failed_request();
+            request.get().set_pool(pool.as_str());
+            request.get().set_endpoint(endpoint.as_str());
+            request.send().promise.await?;
+            Ok(())
+        })
+        .await
+    }
+
+    /// Reads the quarantined fingerprints.
+    ///
+    /// # Errors
+    ///
+    /// When no answer came.
+    pub async fn quarantined(&self, address: &str) -> Result<Vec<Fingerprint>, PeerFault> {
+        self.exchange(address, self.answer_time, async |client| {
+            let answer = client.quarantined_request().send().promise.await?;
+            let list = answer.get()?.get_fingerprints()?;
+            Ok(list.iter().map(Fingerprint).collect())
+        })
+        .await
+    }
+}
+
+fn open_link(stream: TcpStream) -> OpenLink {
+    let (reader, writer) = stream.compat().split();
+    let reader = futures::io::BufReader::new(reader);
+    let writer = futures::io::BufWriter::new(writer);
+    let options = capnp::message::ReaderOptions::new();
+    let network = twoparty::VatNetwork::new(reader, writer, Side::Client, options);
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let client: peer::Client = system.bootstrap(Side::Server);
+    let task = tokio::task::spawn_local(async move {
+        // The end of the connection is seen by the messages that wait on it.
+        let _ = system.await;
+    });
+    OpenLink {
+        client,
+        task: task.abort_handle(),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,21 @@
+//! Pure decisions of an entry instance: no I/O, no clock, no threads.
+//!
+//! Every function that depends on time takes `now` in milliseconds of a monotonic clock; the
+//! adapters in `entry` and the fakes in `scenarios` carry the decisions out.
+
+pub mod call;
+pub mod claim;
+pub mod flow;
+pub mod frame;
+pub mod ids;
+pub mod leaving;
+pub mod member;
+pub mod order;
+pub mod outcome;
+pub mod poison;
+pub mod pool;
+pub mod prefix;
+pub mod retry;
+pub mod rollout;
+pub mod steward;
+pub mod template;
--- /dev/null
+++ b/crates/policy/src/pool/endpoint.rs
@@ -0,0 +1,203 @@
+//! One endpoint's exact counts.
+
+use std::collections::BTreeMap;
+
+use super::ask::{GrantAsk, GrantId, GrantPart, Sharing, WorkClass};
+use crate::ids::{EndpointId, Millis, OwnerId, RequestId};
+use crate::poison::Fingerprint;
+
+const MILLIS_PER_SECOND: u64 = 1_000;
+
+/// What an endpoint can do, as its settings or load report say.
+#[derives::value]
+pub struct EndpointSpec {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// Streams that it runs side by side.
+    pub slots: u32,
+    /// Key-value cache memory, in tokens.
+    pub memory_tokens: u64,
+    /// Prompt tokens read a second.
+    pub prefill_rate: u64,
+}
+
+impl EndpointSpec {
+    /// Milliseconds that reading `tokens` of prompt takes.
+    #[must_use]
+    pub fn prefill_millis(&self, tokens: u64) -> Millis {
+        tokens * MILLIS_PER_SECOND / self.prefill_rate.max(1)
+    }
+}
+
+/// One grant's hold on one endpoint.
+#[derives::value]
+pub struct RunningGrant {
+    /// The request.
+    pub request: RequestId,
+    /// Hash of its content and account; zero where it is not known.
+    pub fingerprint: Fingerprint,
+    /// Who holds it.
+    pub owner: OwnerId,
+    /// Tokens reserved here.
+    pub tokens: u64,
+    /// Whether it counts as long.
+    pub class: WorkClass,
+    /// Whether it runs alone.
+    pub sharing: Sharing,
+    /// When it was granted.
+    pub since: Millis,
+}
+
+/// Whether an endpoint may be given new work.
+#[derives::tag]
+pub(super) enum EndpointHealth {
+    /// Its running streams are not known yet; nothing is granted until it has been listed.
+    Unlisted,
+    /// It did not answer when it was last asked for its list.
+    Unreachable,
+    /// It may.
+    Up,
+    /// It failed; not before this time.
+    Down(Millis),
+    /// It leaves or stops.
+    Leaving,
+}
+
+/// Exact counts of one endpoint.
+#[derive(Debug)]
+pub struct EndpointState {
+    pub(super) spec: EndpointSpec,
+    pub(super) health: EndpointHealth,
+    pub(super) grants: BTreeMap<GrantId, RunningGrant>,
+    used_tokens: u64,
+    long_grants: usize,
+    short_busy_until: Millis,
+    all_busy_until: Millis,
+}
+
+impl EndpointState {
+    pub(super) fn new(spec: EndpointSpec, health: EndpointHealth) -> Self {
+        Self {
+            spec,
+            health,
+            grants: BTreeMap::new(),
+            used_tokens: 0,
+            long_grants: 0,
+            short_busy_until: 0,
+            all_busy_until: 0,
+        }
+    }
+
+    /// Whether it may be given new work at `now`.
+    pub(super) fn is_open(&self, now: Millis) -> bool {
+        match self.health {
+            EndpointHealth::Up => true,
+            EndpointHealth::Down(until) => now >= until,
+            EndpointHealth::Unlisted | EndpointHealth::Unreachable | EndpointHealth::Leaving => {
+                false
+            }
+        }
+    }
+
+    /// Whether it may be given new work at `now` or as soon as it has been listed.
+    pub(super) fn is_usable(&self, now: Millis) -> bool {
+        self.is_open(now) || self.health == EndpointHealth::Unlisted
+    }
+
+    /// Tokens of memory that are not reserved.
+    #[must_use]
+    pub fn free_tokens(&self) -> u64 {
+        self.spec.memory_tokens.saturating_sub(self.used_tokens)
+    }
+
+    /// Tokens of memory that are reserved.
+    #[must_use]
+    pub fn used_tokens(&self) -> u64 {
+        self.used_tokens
+    }
+
+    /// Grants that count as long.
+    #[must_use]
+    pub fn long_grants(&self) -> usize {
+        self.long_grants
+    }
+
+    /// Grants of either class.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.grants.len()
+    }
+
+    /// Whether a slot is free and nothing runs alone.
+    pub(super) fn has_slot(&self, sharing: Sharing) -> bool {
+        if sharing == Sharing::Alone {
+            return self.grants.is_empty();
+        }
+        let slots = usize::try_from(self.spec.slots).unwrap_or(usize::MAX);
+        self.grants.len() < slots && !self.runs_alone()
+    }
+
+    fn runs_alone(&self) -> bool {
+        let first = self.grants.values().next();
+        first.is_some_and(|grant| grant.sharing == Sharing::Alone)
+    }
+
+    /// Milliseconds until the endpoint would start to read a new prompt of `class`.
+    ///
+    /// Engines honour priorities and short requests have the higher one, so that they wait only
+    /// for other short ones.
+    pub(super) fn start_delay(&self, class: WorkClass, now: Millis) -> Millis {
+        let busy_until = match class {
+            WorkClass::Short => self.short_busy_until,
+            WorkClass::Long => self.all_busy_until,
+        };
+        busy_until.saturating_sub(now)
+    }
+
+    pub(super) fn add(&mut self, id: GrantId, grant: RunningGrant) {
+        self.used_tokens += grant.tokens;
+        if grant.class == WorkClass::Long {
+            self.long_grants += 1;
+        }
+        self.grants.insert(id, grant);
+    }
+
+    /// Counts the prompt work of a grant that leads here.
+    pub(super) fn add_prefill(&mut self, class: WorkClass, work: Millis, now: Millis) {
+        self.all_busy_until = self.all_busy_until.max(now) + work;
+        if class == WorkClass::Short {
+            self.short_busy_until = self.short_busy_until.max(now) + work;
+        }
+    }
+
+    pub(super) fn remove(&mut self, id: GrantId) -> Option<RunningGrant> {
+        let grant = self.grants.remove(&id)?;
+        self.used_tokens -= grant.tokens;
+        if grant.class == WorkClass::Long {
+            self.long_grants -= 1;
+        }
+        if self.grants.is_empty() {
+            self.short_busy_until = 0;
+            self.all_busy_until = 0;
+        }
+        Some(grant)
+    }
+
+    pub(super) fn hold(
+        &self,
+        ask: &GrantAsk,
+        part: &GrantPart,
+        class: WorkClass,
+        now: Millis,
+    ) -> RunningGrant {
+        RunningGrant {
+            request: ask.request,
+            fingerprint: ask.fingerprint,
+            owner: ask.owner.clone(),
+            tokens: part.tokens,
+            class,
+            sharing: ask.sharing,
+            since: now,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/pool/lane.rs
@@ -0,0 +1,73 @@
+//! The long lane: the endpoints of a pool on which long prompts may run.
+
+use crate::ids::Millis;
+
+/// How the lane's size follows the long work that waits.
+#[derives::tag]
+pub enum LanePolicy {
+    /// Always this many endpoints.
+    Fixed(usize),
+    /// One endpoint for each `backlog` milliseconds of outstanding long work.
+    Threshold {
+        /// Milliseconds of long work for one endpoint.
+        backlog: Millis,
+    },
+    /// Grows above `grow` and shrinks below `shrink` milliseconds of outstanding long work an
+    /// endpoint: separate activation and deactivation thresholds.
+    Hysteresis {
+        /// Above this the lane grows by one.
+        grow: Millis,
+        /// Below this the lane shrinks by one.
+        shrink: Millis,
+    },
+}
+
+/// The lane's present size and bounds.
+#[derives::value]
+pub struct LongLane {
+    policy: LanePolicy,
+    smallest: usize,
+    largest: usize,
+    size: usize,
+}
+
+impl LongLane {
+    /// A lane of at least `smallest` and at most `largest` endpoints.
+    #[must_use]
+    pub fn new(policy: LanePolicy, smallest: usize, largest: usize) -> Self {
+        let largest = largest.max(smallest);
+        let size = match policy {
+            LanePolicy::Fixed(size) => size.clamp(smallest, largest),
+            LanePolicy::Threshold { .. } | LanePolicy::Hysteresis { .. } => smallest,
+        };
+        Self {
+            policy,
+            smallest,
+            largest,
+            size,
+        }
+    }
+
+    /// Endpoints in the lane.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.size
+    }
+
+    /// Follows the outstanding long work, in milliseconds of one endpoint's prefill.
+    pub fn follow(&mut self, work: Millis) {
+        let size = u64::try_from(self.size).unwrap_or(u64::MAX).max(1);
+        let wanted = match self.policy {
+            LanePolicy::Fixed(size) => size,
+            LanePolicy::Threshold { backlog } => {
+                usize::try_from(work.div_ceil(backlog.max(1))).unwrap_or(usize::MAX)
+            }
+            LanePolicy::Hysteresis { grow, .. } if work / size > grow => self.size + 1,
+            LanePolicy::Hysteresis { shrink, .. } if work / size < shrink => {
+                self.size.saturating_sub(1)
+            }
+            LanePolicy::Hysteresis { .. } => self.size,
+        };
+        self.size = wanted.clamp(self.smallest, self.largest);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/pool/place.rs
@@ -0,0 +1,143 @@
+//! Which endpoints an ask could run on now.
+
+use std::collections::BTreeMap;
+
+use super::ask::{GrantAsk, GrantPart, Sharing, WorkClass};
+use super::endpoint::EndpointState;
+use crate::ids::{EndpointId, Millis};
+use crate::prefix::PrefixIndex;
+
+/// Where an ask could run.
+#[derives::value]
+pub(super) struct Placement {
+    /// The lead endpoint first.
+    pub(super) parts: Vec<GrantPart>,
+    /// Milliseconds of prefill on the lead endpoint.
+    pub(super) prefill: Millis,
+    /// Milliseconds until the first token is expected.
+    pub(super) first_token: Millis,
+}
+
+/// What placing needs to see of the pool.
+pub(super) struct PlaceView<'a> {
+    pub(super) endpoints: &'a BTreeMap<EndpointId, EndpointState>,
+    pub(super) prefixes: &'a PrefixIndex,
+    pub(super) lane_size: usize,
+    pub(super) largest_span: usize,
+    /// An endpoint that is kept free for a request that runs alone.
+    pub(super) reserved: Option<&'a EndpointId>,
+    /// The endpoint on which the same content runs now.
+    pub(super) pinned: Option<&'a EndpointId>,
+    pub(super) now: Millis,
+}
+
+impl<'a> PlaceView<'a> {
+    /// The best placement of `ask`, if any endpoint is free for it.
+    pub(super) fn place(&self, ask: &GrantAsk, class: WorkClass) -> Option<Placement> {
+        if let Some(placement) = self.place_on_one(ask, class) {
+            return Some(placement);
+        }
+        self.place_across(ask, class)
+    }
+
+    fn candidates(
+        &self,
+        ask: &'a GrantAsk,
+        class: WorkClass,
+    ) -> impl Iterator<Item = &'a EndpointState> {
+        let lane_size = self.lane_size;
+        let now = self.now;
+        self.endpoints
+            .values()
+            .filter(move |state| state.is_open(now))
+            .enumerate()
+            .filter(move |(index, state)| is_allowed(*index, state, class, lane_size))
+            .map(|(_, state)| state)
+            .filter(|state| self.reserved.is_none_or(|reserved| *reserved != state.spec.id))
+            .filter(|state| self.pinned.is_none_or(|pinned| *pinned == state.spec.id))
+            .filter(|state| !ask.excluded.contains(&state.spec.id))
+            .filter(|state| state.has_slot(ask.sharing))
+    }
+
+    fn place_on_one(&self, ask: &GrantAsk, class: WorkClass) -> Option<Placement> {
+        let tokens = ask.memory_tokens();
+        let (first_token, _, prefill, state) = self
+            .candidates(ask, class)
+            .filter(|state| state.free_tokens() >= tokens)
+            .map(|state| {
+                let prefill = self.prefill(ask, state);
+                let first_token = state.start_delay(class, self.now) + prefill;
+                (first_token, state.running(), prefill, state)
+            })
+            .min_by_key(|(first_token, running, _, _)| (*first_token, *running))?;
+        let parts = vec![GrantPart {
+            endpoint: state.spec.id.clone(),
+            tokens,
+        }];
+        Some(Placement {
+            parts,
+            prefill,
+            first_token,
+        })
+    }
+
+    /// Spreads a prompt over several endpoints' memory, all or nothing.
+    fn place_across(&self, ask: &GrantAsk, class: WorkClass) -> Option<Placement> {
+        let tokens = ask.memory_tokens();
+        if class == WorkClass::Short || ask.sharing == Sharing::Alone || self.fits_one(tokens) {
+            return None;
+        }
+        let mut states: Vec<&EndpointState> = self.candidates(ask, class).collect();
+        states.sort_by_key(|state| std::cmp::Reverse(state.free_tokens()));
+        states.truncate(self.largest_span);
+        let free: u64 = states.iter().map(|state| state.free_tokens()).sum();
+        if free < tokens {
+            return None;
+        }
+        let lead = *states.first()?;
+        let prefill = self.prefill(ask, lead);
+        let first_token = lead.start_delay(class, self.now) + prefill;
+        Some(Placement {
+            parts: split(tokens, &states),
+            prefill,
+            first_token,
+        })
+    }
+
+    fn fits_one(&self, tokens: u64) -> bool {
+        self.endpoints
+            .values()
+            .any(|state| state.spec.memory_tokens >= tokens)
+    }
+
+    fn prefill(&self, ask: &GrantAsk, state: &EndpointState) -> Millis {
+        let cached = self.prefixes.cached_tokens(&ask.prefixes, &state.spec.id);
+        let uncached = ask.prompt_tokens.saturating_sub(cached);
+        state.spec.prefill_millis(uncached)
+    }
+}
+
+/// Longs run in the lane only; shorts keep out of lane endpoints that run a long.
+fn is_allowed(index: usize, state: &EndpointState, class: WorkClass, lane_size: usize) -> bool {
+    match class {
+        WorkClass::Long => index < lane_size,
+        WorkClass::Short => state.long_grants() == 0,
+    }
+}
+
+fn split(tokens: u64, states: &[&EndpointState]) -> Vec<GrantPart> {
+    let mut left = tokens;
+    let mut parts = Vec::new();
+    for state in states {
+        let share = left.min(state.free_tokens());
+        if share == 0 {
+            break;
+        }
+        left -= share;
+        parts.push(GrantPart {
+            endpoint: state.spec.id.clone(),
+            tokens: share,
+        });
+    }
+    parts
+}
--- /dev/null
+++ b/crates/policy/src/template.rs
@@ -0,0 +1,330 @@
+//! Account templates and client accounts, and the versioned book that holds them.
+
+use std::collections::{BTreeMap, HashMap};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::{AccountId, TemplateId};
+use crate::leaving::TableChange;
+
+/// Which model, adapter and version a client account's requests may use.
+#[derive(Eq)]
+#[derives::wire]
+#[serde(deny_unknown_fields)]
+pub struct ModelRule {
+    /// The model's name, as callers write it; rules of the same name are ranked alternatives.
+    pub model: String,
+    /// The model that engines load; empty where it has the callers' name.
+    #[serde(default)]
+    pub target: String,
+    /// Adapter laid over the model; empty for none.
+    #[serde(default)]
+    pub adapter: String,
+    /// The model's version; empty for whichever is loaded.
+    #[serde(default)]
+    pub version: String,
+    /// Lower ranks are tried first.
+    #[serde(default)]
+    pub rank: u32,
+}
+
+impl ModelRule {
+    /// The name under which engines know the model.
+    #[must_use]
+    pub fn target(&self) -> &str {
+        if self.target.is_empty() {
+            return &self.model;
+        }
+        &self.target
+    }
+}
+
+/// Whether calls of a service may be sent more than once.
+#[derives::tag]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Repeatability {
+    /// The call is idempotent and may be retried.
+    Idempotent,
+    /// The call runs at most once and needs an idempotency key.
+    Once,
+}
+
+/// One service that a client account's calls may reach.
+#[derive(Eq)]
+#[derives::wire]
+#[serde(deny_unknown_fields)]
+pub struct ServiceRule {
+    /// The service's name.
+    pub service: String,
+    /// Whether its calls may be repeated.
+    pub calls: Repeatability,
+}
+
+/// An account template: what client accounts that use it may call, and how.
+#[derive(Eq)]
+#[derives::wire]
+#[serde(deny_unknown_fields)]
+pub struct AccountTemplate {
+    /// The template's name.
+    pub name: TemplateId,
+    /// Models by rank.
+    #[serde(default)]
+    pub models: Vec<ModelRule>,
+    /// Services by name.
+    #[serde(default)]
+    pub services: Vec<ServiceRule>,
+    /// Bound on generated tokens where the caller names none.
+    #[serde(default = "default_output_tokens")]
+    pub output_tokens: u64,
+    /// Share of a pool relative to other accounts.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+}
+
+fn default_output_tokens() -> u64 {
+    256
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+/// A client account.
+#[derive(Eq)]
+#[derives::wire]
+#[serde(deny_unknown_fields)]
+pub struct ClientAccount {
+    /// The account's name.
+    pub name: AccountId,
+    /// SHA-256 of the API key, in lower-case hexadecimal digits.
+    pub key_sha256: String,
+    /// The template that its requests use.
+    pub template: TemplateId,
+}
+
+/// One document of the operators' configuration.
+#[derive(Eq)]
+#[derives::wire]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum ConfigBody {
+    /// An account template.
+    Template(AccountTemplate),
+    /// A client account.
+    Account(ClientAccount),
+    /// The document was deleted.
+    Deleted,
+}
+
+/// A document at one version, with the change that wrote it.
+#[derive(Eq)]
+#[derives::wire]
+pub struct ConfigDocument {
+    /// Key in the key-value service, such as `config/templates/default`.
+    pub key: String,
+    /// Revision of the key-value service at which it was written.
+    pub version: u64,
+    /// Unique id of the change.
+    pub change: String,
+    /// The content.
+    pub body: ConfigBody,
+}
+
+/// Key prefix of all configuration documents.
+pub const CONFIG_PREFIX: &str = "config/";
+
+/// The key of a template's document.
+#[must_use]
+pub fn template_key(template: &TemplateId) -> String {
+    format!("{CONFIG_PREFIX}templates/{template}")
+}
+
+/// The key of a client account's document.
+#[must_use]
+pub fn account_key(account: &AccountId) -> String {
+    format!("{CONFIG_PREFIX}accounts/{account}")
+}
+
+/// What is wrong with a document that an operator wants to write.
+#[derives::value]
+pub struct DocumentFault {
+    /// Path of the faulty member.
+    pub path: String,
+    /// What is expected there.
+    pub expected: &'static str,
+}
+
+/// Checks a template before it is written.
+///
+/// # Errors
+///
+/// Names the first member that cannot be used.
+pub fn check_template(template: &AccountTemplate) -> Result<(), DocumentFault> {
+    let fault = |path: String, expected| Err(DocumentFault { path, expected });
+    if !is_plain_name(template.name.as_str()) {
+        return fault("name".to_owned(), "letters, digits, '-', '_' or '.'");
+    }
+    if template.weight == 0 {
+        return fault("weight".to_owned(), "a whole number of at least 1");
+    }
+    if template.output_tokens == 0 {
+        return fault("output_tokens".to_owned(), "a whole number of at least 1");
+    }
+    for (index, rule) in template.models.iter().enumerate() {
+        if rule.model.is_empty() {
+            return fault(format!("models[{index}].model"), "a model's name");
+        }
+    }
+    for (index, rule) in template.services.iter().enumerate() {
+        if !is_plain_name(&rule.service) {
+            return fault(format!("services[{index}].service"), "a service's name");
+        }
+    }
+    Ok(())
+}
+
+/// Checks a client account before it is written.
+///
+/// # Errors
+///
+/// Names the first member that cannot be used.
+pub fn check_account(account: &ClientAccount) -> Result<(), DocumentFault> {
+    let fault = |path: &str, expected| {
+        Err(DocumentFault {
+            path: path.to_owned(),
+            expected,
+        })
+    };
+    if !is_plain_name(account.name.as_str()) {
+        return fault("name", "letters, digits, '-', '_' or '.'");
+    }
+    let digest = &account.key_sha256;
+    let is_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    if digest.len() != 64 || !digest.bytes().all(is_hex) {
+        return fault("key_sha256", "64 lower-case hexadecimal digits");
+    }
+    if !is_plain_name(account.template.as_str()) {
+        return fault("template", "a template's name");
+    }
+    Ok(())
+}
+
+fn is_plain_name(text: &str) -> bool {
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    !text.is_empty() && text.len() <= 128 && text.bytes().all(is_allowed)
+}
+
+fn document_hash(document: &ConfigDocument) -> u64 {
+    xxh3_64_with_seed(document.key.as_bytes(), document.version)
+}
+
+/// Everything that the operators configured, as this instance knows it.
+///
+/// Invariant: the version of a document never goes down, whichever of platform and peers it
+/// comes from and in whatever order.
+#[derive(Debug, Default)]
+pub struct ConfigBook {
+    documents: BTreeMap<String, ConfigDocument>,
+    accounts_by_key: HashMap<String, AccountId>,
+    version: u64,
+    digest: u64,
+}
+
+impl ConfigBook {
+    /// An empty book at version zero.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The rules for one model, the best rank first.
+    #[must_use]
+    pub fn ranked_rules<'a>(template: &'a AccountTemplate, model: &str) -> Vec<&'a ModelRule> {
+        let mut rules: Vec<&ModelRule> = template
+            .models
+            .iter()
+            .filter(|rule| rule.model == model)
+            .collect();
+        rules.sort_by_key(|rule| rule.rank);
+        rules
+    }
+
+    /// The highest version in force.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// A hash of all documents' keys and versions, whatever the order in which they came.
+    ///
+    /// Unlike the highest version it also differs where one document in between is missing.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Takes a document from the platform or a peer; an older version changes nothing.
+    pub fn apply(&mut self, document: &ConfigDocument) -> TableChange {
+        self.version = self.version.max(document.version);
+        if let Some(known) = self.documents.get(&document.key) {
+            if known.version >= document.version {
+                return TableChange::Unchanged;
+            }
+            self.digest = self.digest.wrapping_sub(document_hash(known));
+            if let ConfigBody::Account(account) = &known.body {
+                self.accounts_by_key.remove(&account.key_sha256);
+            }
+        }
+        if let ConfigBody::Account(account) = &document.body {
+            self.accounts_by_key
+                .insert(account.key_sha256.clone(), account.name.clone());
+        }
+        self.digest = self.digest.wrapping_add(document_hash(document));
+        self.documents
+            .insert(document.key.clone(), document.clone());
+        TableChange::Changed
+    }
+
+    /// The documents written after `version`, oldest first.
+    #[must_use]
+    pub fn since(&self, version: u64) -> Vec<ConfigDocument> {
+        let mut list: Vec<ConfigDocument> = self
+            .documents
+            .values()
+            .filter(|document| document.version > version)
+            .cloned()
+            .collect();
+        list.sort_by_key(|document| document.version);
+        list
+    }
+
+    /// One document.
+    #[must_use]
+    pub fn document(&self, key: &str) -> Option<&ConfigDocument> {
+        self.documents.get(key)
+    }
+
+    /// Every document, by key.
+    pub fn iter(&self) -> impl Iterator<Item = &ConfigDocument> {
+        self.documents.values()
+    }
+
+    /// The template in force under this name.
+    #[must_use]
+    pub fn template(&self, template: &TemplateId) -> Option<&AccountTemplate> {
+        match &self.documents.get(&template_key(template))?.body {
+            ConfigBody::Template(template) => Some(template),
+            _ => None,
+        }
+    }
+
+    /// The client account whose API key has this SHA-256 digest.
+    #[must_use]
+    pub fn account_by_key(&self, key_sha256: &str) -> Option<&ClientAccount> {
+        let name = self.accounts_by_key.get(key_sha256)?;
+        match &self.documents.get(&account_key(name))?.body {
+            ConfigBody::Account(account) => Some(account),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,12 @@
+//! Settings of an entry instance: JSON form, checks, schema.
+
+mod check;
+mod form;
+mod load;
+
+pub use check::check_settings;
+pub use form::{
+    EndpointSettings, EngineFencing, EngineSettings, EntrySettings, FailureDomainSettings,
+    LimitSettings, ListenSettings, Objective, PlatformSettings, PoolSettings, ServiceSettings,
+};
+pub use load::{SettingsFault, load_settings, parse_settings, settings_schema};
--- /dev/null
+++ b/crates/settings/src/load.rs
@@ -0,0 +1,74 @@
+//! Reads settings from text and files.
+
+use std::fmt;
+use std::path::Path;
+
+use crate::check::check_settings;
+use crate::form::EntrySettings;
+
+/// What is wrong with the settings, on one line.
+#[derives::value]
+pub struct SettingsFault {
+    path: String,
+    problem: String,
+}
+
+impl SettingsFault {
+    /// A fault of the member at `path`.
+    #[must_use]
+    pub fn new(path: &str, problem: String) -> Self {
+        Self {
+            path: path.to_owned(),
+            problem: problem.replace('\n', " "),
+        }
+    }
+}
+
+impl fmt::Display for SettingsFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: {}", self.path, self.problem)
+    }
+}
+
+impl std::error::Error for SettingsFault {}
+
+/// Reads and checks settings from JSON text.
+///
+/// # Errors
+///
+/// Names the path of the first member that is unknown, missing, of a wrong type or impossible.
+pub fn parse_settings(text: &str) -> Result<EntrySettings, SettingsFault> {
+    let mut reader = serde_json::Deserializer::from_str(text);
+    let settings: EntrySettings =
+        serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+            let path = error.path().to_string();
+            SettingsFault::new(&path, error.into_inner().to_string())
+        })?;
+    reader
+        .end()
+        .map_err(|error| SettingsFault::new(".", error.to_string()))?;
+    check_settings(&settings)?;
+    Ok(settings)
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// As [`parse_settings`]; a file that cannot be read is a fault of the path `.`.
+pub fn load_settings(file: &Path) -> Result<EntrySettings, SettingsFault> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| SettingsFault::new(".", format!("cannot read the file: {error}")))?;
+    parse_settings(&text)
+}
+
+/// The JSON schema of the settings, as indented text.
+///
+/// # Panics
+///
+/// When the schema has no JSON form, which schemas have.
+#[must_use]
+pub fn settings_schema() -> String {
+    let schema = schemars::schema_for!(EntrySettings);
+    serde_json::to_string_pretty(&schema).expect("a schema has a JSON form")
+}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,111 @@
+//! Runs one stand-in as a process of its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand};
+use jackdawpoint_standin::RunningStandin;
+use jackdawpoint_standin::engine::{EngineOptions, EngineStandin};
+use jackdawpoint_standin::key_value::KeyValueStandin;
+use jackdawpoint_standin::platform::{InstanceListStandin, WeightStandin};
+use jackdawpoint_standin::service::ServiceStandin;
+
+/// Stand-ins of the systems around jackdawpoint, for tests and trials.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct StandinArgs {
+    #[command(subcommand)]
+    role: StandinRole,
+}
+
+#[derive(Debug, Subcommand)]
+enum StandinRole {
+    /// A model engine.
+    Engine {
+        /// Address to listen on; port 0 takes a free one and prints it.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// Streams side by side.
+        #[arg(long, default_value_t = 32)]
+        slots: usize,
+        /// Memory in tokens.
+        #[arg(long, default_value_t = 400_000)]
+        memory_tokens: u64,
+        /// Prompt tokens read a second.
+        #[arg(long, default_value_t = 400_000)]
+        prefill_rate: u64,
+        /// Milliseconds between two tokens.
+        #[arg(long, default_value_t = 1)]
+        token_ms: u64,
+        /// The model loaded at the start.
+        #[arg(long, default_value = "base")]
+        model: String,
+        /// Take orders with an old fencing number.
+        #[arg(long)]
+        ignore_fencing: bool,
+    },
+    /// A plain service.
+    Service {
+        /// Address to listen on; port 0 takes a free one and prints it.
+        #[arg(long)]
+        listen: SocketAddr,
+    },
+    /// The key-value service.
+    KeyValue {
+        /// Address to listen on; port 0 takes a free one and prints it.
+        #[arg(long)]
+        listen: SocketAddr,
+    },
+    /// The list of instances.
+    Instances {
+        /// Address to listen on; port 0 takes a free one and prints it.
+        #[arg(long)]
+        listen: SocketAddr,
+    },
+    /// The weight store.
+    Weights {
+        /// Address to listen on; port 0 takes a free one and prints it.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// Milliseconds between two loads.
+        #[arg(long, default_value_t = 1_000)]
+        period_ms: u64,
+    },
+}
+
+#[ntex::main]
+async fn main() -> anyhow::Result<()> {
+    let running = start(StandinArgs::parse().role)?;
+    println!("listening on {}", running.address);
+    running.server.await?;
+    Ok(())
+}
+
+fn start(role: StandinRole) -> anyhow::Result<RunningStandin> {
+    let running = match role {
+        StandinRole::Engine {
+            listen,
+            slots,
+            memory_tokens,
+            prefill_rate,
+            token_ms,
+            model,
+            ignore_fencing,
+        } => EngineStandin::new(EngineOptions {
+            slots,
+            memory_tokens,
+            prefill_rate,
+            token_time: Duration::from_millis(token_ms),
+            model,
+            checks_fencing: !ignore_fencing,
+        })
+        .serve(listen)?,
+        StandinRole::Service { listen } => ServiceStandin::new().serve(listen)?,
+        StandinRole::KeyValue { listen } => KeyValueStandin::new().serve(listen)?,
+        StandinRole::Instances { listen } => InstanceListStandin::new().serve(listen)?,
+        StandinRole::Weights { listen, period_ms } => {
+            WeightStandin::new(Duration::from_millis(period_ms)).serve(listen)?
+        }
+    };
+    Ok(running)
+}
