@@ -7518,52 +11231,94 @@
             }
         }
 
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 0,
+                    pointers: 0,
+                };
         }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
             fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
+                Self { builder }
             }
         }
 
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
             fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
             }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
             }
         }
 
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
         }
 
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
                 self.builder.into_reader().into()
             }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
             }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
                 self.builder.as_reader().into()
             }
 
@@ -7572,14 +11327,17 @@
             }
         }
 
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
         impl ::capnp::capability::FromTypelessPipeline for Pipeline {
             fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
+                Self {
+                    _typeless: typeless,
+                }
             }
         }
-        impl Pipeline  {
-        }
+        impl Pipeline {}
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
@@ -7603,19 +11361,24 @@
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_field_index(index)
             }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
             pub(crate) const TYPE_ID: u64 = 0x907e_d58a_cdf6_6046;
         }
     }
@@ -7623,67 +11386,118 @@
     pub mod quarantined_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
 
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
         }
 
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
             fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
+                Self { reader }
             }
         }
 
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
                 ::core::result::Result::Ok(reader.get_struct(default)?.into())
             }
         }
 
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
             fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
                 self.reader
             }
         }
 
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
             fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
             }
         }
 
-        impl <'a,> Reader<'a,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
             }
 
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_fingerprints(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            pub fn get_fingerprints(
+                self,
+            ) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u64>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
             pub fn has_fingerprints(&self) -> bool {
@@ -7691,52 +11505,94 @@
             }
         }
 
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
         }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 0,
+                    pointers: 1,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
             fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
+                Self { builder }
             }
         }
 
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
             fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
             }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
             }
         }
 
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
         }
 
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
                 self.builder.into_reader().into()
             }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
             }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
                 self.builder.as_reader().into()
             }
 
@@ -7744,16 +11600,31 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_fingerprints(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            pub fn get_fingerprints(
+                self,
+            ) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u64>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn set_fingerprints(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_fingerprints(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
             }
             #[inline]
-            pub fn init_fingerprints(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            pub fn init_fingerprints(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u64> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    size,
+                )
             }
             #[inline]
             pub fn has_fingerprints(&self) -> bool {
@@ -7761,14 +11632,17 @@
             }
         }
 
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
         impl ::capnp::capability::FromTypelessPipeline for Pipeline {
             fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
+                Self {
+                    _typeless: typeless,
+                }
             }
         }
-        impl Pipeline  {
-        }
+        impl Pipeline {}
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 38] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
@@ -7816,19 +11690,24 @@
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xd7da_cfa6_3f43_5315;
         }
     }
--- a/crates/peer/src/handler.rs
+++ b/crates/peer/src/handler.rs
@@ -85,11 +85,8 @@
     fn apply(&self, documents: &[ConfigDocument]) -> ApplyReport;
 
     /// Puts documents in force in the whole failure domain.
-    fn rollout(
-        &self,
-        version: u64,
-        documents: Vec<ConfigDocument>,
-    ) -> PeerFuture<'_, DomainReport>;
+    fn rollout(&self, version: u64, documents: Vec<ConfigDocument>)
+    -> PeerFuture<'_, DomainReport>;
 
     /// Takes news of an endpoint that crashed while a prompt ran on it.
     fn crashed(&self, report: &CrashReport);
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -23,8 +23,8 @@
 
 use crate::handler::{ApplyReport, DocumentBatch, ProbeMessage, RelayVerdict};
 use crate::message::{
-    from_json, list_length, read_decision, read_digest, read_updates, to_json, write_ask, write_digest,
-    write_updates,
+    from_json, list_length, read_decision, read_digest, read_updates, to_json, write_ask,
+    write_digest, write_updates,
 };
 
 /// Why a message has no answer.
@@ -87,9 +87,8 @@
             return Ok(link.client.clone());
         }
         let connect = TcpStream::connect(address);
-        let stream = match timeout(self.answer_time, connect).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(_)) | Err(_) => return Err(PeerFault::Unreachable),
+        let Ok(Ok(stream)) = timeout(self.answer_time, connect).await else {
+            return Err(PeerFault::Unreachable);
         };
         stream
             .set_nodelay(true)
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -40,8 +40,12 @@
     let (reader, writer) = stream.compat().split();
     let reader = futures::io::BufReader::new(reader);
     let writer = futures::io::BufWriter::new(writer);
-    let network =
-        twoparty::VatNetwork::new(reader, writer, Side::Server, capnp::message::ReaderOptions::new());
+    let network = twoparty::VatNetwork::new(
+        reader,
+        writer,
+        Side::Server,
+        capnp::message::ReaderOptions::new(),
+    );
     // A broken connection is the caller's to notice and replace.
     let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,5 @@
 pub use http::HttpPlatform;
 pub use key_value::{
     CasVerdict, InstanceKind, InstanceState, KeyValue, KeyValueFault, LeaseId, LeaseState,
-    ListedInstance,
-    PlatformFuture, StoredKey, StoredValue, WatchEvent, WatchReport,
+    ListedInstance, PlatformFuture, StoredKey, StoredValue, WatchEvent, WatchReport,
 };
--- a/crates/policy/src/call.rs
+++ b/crates/policy/src/call.rs
@@ -108,9 +108,7 @@
     pub fn on_event(&mut self, event: CallEvent, gate: &mut dyn RetryGate) -> CallStep {
         match event {
             CallEvent::Claim(verdict) => self.on_claim(verdict),
-            CallEvent::ClaimUnavailable => {
-                self.refuse(RefusalReason::PlatformDown, PLATFORM_RETRY)
-            }
+            CallEvent::ClaimUnavailable => self.refuse(RefusalReason::PlatformDown, PLATFORM_RETRY),
             CallEvent::ConnectFailed => self.on_connect_failed(gate),
             CallEvent::Answered => CallStep::Deliver,
             CallEvent::ConnectionLost => self.on_connection_lost(gate),
--- a/crates/policy/src/flow.rs
+++ b/crates/policy/src/flow.rs
@@ -316,8 +316,8 @@
         gate: &mut dyn RetryGate,
     ) -> FlowStep {
         self.breaks = 0;
-        self.excluded.push(open.endpoint.clone());
         let verdict = gate.retry(&open.endpoint, reason);
+        self.excluded.push(open.endpoint);
         if verdict == RetryVerdict::Spent && evidence != EndpointEvidence::Crashed {
             return self.give_up(Refusal::new(RefusalReason::RetryBudget, BUDGET_RETRY));
         }
@@ -346,10 +346,7 @@
     }
 
     fn at_deadline(&mut self) -> FlowStep {
-        let is_open = matches!(
-            self.phase,
-            FlowPhase::Streaming(_) | FlowPhase::Probing(..)
-        );
+        let is_open = matches!(self.phase, FlowPhase::Streaming(_) | FlowPhase::Probing(..));
         if is_open {
             return self.unfinished(UnfinishedReason::DeadlinePassed);
         }
--- a/crates/policy/src/pool/alone.rs
+++ b/crates/policy/src/pool/alone.rs
@@ -33,11 +33,7 @@
     }
 
     /// Chooses the endpoint with the fewest grants while something waits.
-    pub(super) fn reserve(
-        &mut self,
-        endpoints: &BTreeMap<EndpointId, EndpointState>,
-        now: Millis,
-    ) {
+    pub(super) fn reserve(&mut self, endpoints: &BTreeMap<EndpointId, EndpointState>, now: Millis) {
         let Some(first) = self.waiting.front() else {
             self.reserved = None;
             return;
--- a/crates/policy/src/pool/endpoint.rs
+++ b/crates/policy/src/pool/endpoint.rs
@@ -182,22 +182,22 @@
         }
         Some(grant)
     }
+}
 
-    pub(super) fn hold(
-        &self,
-        ask: &GrantAsk,
-        part: &GrantPart,
-        class: WorkClass,
-        now: Millis,
-    ) -> RunningGrant {
-        RunningGrant {
-            request: ask.request,
-            fingerprint: ask.fingerprint,
-            owner: ask.owner.clone(),
-            tokens: part.tokens,
-            class,
-            sharing: ask.sharing,
-            since: now,
-        }
+/// What `ask` holds with one part of its grant.
+pub(super) fn hold_of(
+    ask: &GrantAsk,
+    part: &GrantPart,
+    class: WorkClass,
+    now: Millis,
+) -> RunningGrant {
+    RunningGrant {
+        request: ask.request,
+        fingerprint: ask.fingerprint,
+        owner: ask.owner.clone(),
+        tokens: part.tokens,
+        class,
+        sharing: ask.sharing,
+        since: now,
     }
 }
--- a/crates/policy/src/pool/health.rs
+++ b/crates/policy/src/pool/health.rs
@@ -192,14 +192,14 @@
             let memory = listing.memory.iter().map(|memory| memory.attempt.request);
             streams.chain(memory).any(|listed| listed == request)
         };
-        let stale: Vec<GrantId> = state
+        let overdue: Vec<GrantId> = state
             .grants
             .iter()
             .filter(|(_, grant)| now.saturating_sub(grant.since) >= UNLISTED_GRACE)
             .filter(|(_, grant)| !is_listed(grant.request))
             .map(|(id, _)| *id)
             .collect();
-        for id in stale {
+        for id in overdue {
             self.release(id, now);
         }
     }
--- a/crates/policy/src/pool/lane.rs
+++ b/crates/policy/src/pool/lane.rs
@@ -54,8 +54,9 @@
         self.size
     }
 
-    /// Follows the outstanding long work, in milliseconds of one endpoint's prefill.
-    pub fn follow(&mut self, work: Millis) {
+    /// Follows the outstanding long work, in milliseconds of one endpoint's prefill; the lane has
+    /// at least the `needed` endpoints that the next waiting prompt is spread over.
+    pub fn follow(&mut self, work: Millis, needed: usize) {
         let size = u64::try_from(self.size).unwrap_or(u64::MAX).max(1);
         let wanted = match self.policy {
             LanePolicy::Fixed(size) => size,
@@ -68,6 +69,6 @@
             }
             LanePolicy::Hysteresis { .. } => self.size,
         };
-        self.size = wanted.clamp(self.smallest, self.largest);
+        self.size = wanted.clamp(self.smallest, self.largest).max(needed);
     }
 }
--- a/crates/policy/src/pool/mod.rs
+++ b/crates/policy/src/pool/mod.rs
@@ -18,8 +18,8 @@
     Grant, GrantAsk, GrantDecision, GrantId, GrantPart, OwnerVerdict, Sharing, TicketId, WorkClass,
 };
 pub use endpoint::{EndpointSpec, EndpointState, RunningGrant};
+pub use health::{CacheChange, ORPHAN_GRACE, UNLISTED_GRACE};
 pub use lane::{LanePolicy, LongLane};
 pub use queue::{FairQueue, Waiting};
 pub use reconcile::{EngineListing, HeldMemory, Reconciliation, RunningStream};
-pub use health::{CacheChange, ORPHAN_GRACE, UNLISTED_GRACE};
 pub use table::{PoolCounts, PoolLimits, PoolTable};
--- a/crates/policy/src/pool/place.rs
+++ b/crates/policy/src/pool/place.rs
@@ -23,6 +23,7 @@
     pub(super) endpoints: &'a BTreeMap<EndpointId, EndpointState>,
     pub(super) prefixes: &'a PrefixIndex,
     pub(super) lane_size: usize,
+    pub(super) lane_use: LaneUse,
     pub(super) largest_span: usize,
     /// An endpoint that is kept free for a request that runs alone.
     pub(super) reserved: Option<&'a EndpointId>,
@@ -45,15 +46,18 @@
         ask: &'a GrantAsk,
         class: WorkClass,
     ) -> impl Iterator<Item = &'a EndpointState> {
-        let lane_size = self.lane_size;
+        let lane = (self.lane_size, self.lane_use);
         let now = self.now;
         self.endpoints
             .values()
             .filter(move |state| state.is_open(now))
             .enumerate()
-            .filter(move |(index, state)| is_allowed(*index, state, class, lane_size))
+            .filter(move |(index, state)| is_allowed(*index, state, class, lane))
             .map(|(_, state)| state)
-            .filter(|state| self.reserved.is_none_or(|reserved| *reserved != state.spec.id))
+            .filter(|state| {
+                self.reserved
+                    .is_none_or(|reserved| *reserved != state.spec.id)
+            })
             .filter(|state| self.pinned.is_none_or(|pinned| *pinned == state.spec.id))
             .filter(|state| !ask.excluded.contains(&state.spec.id))
             .filter(|state| state.has_slot(ask.sharing))
@@ -117,14 +121,31 @@
     }
 }
 
-/// Longs run in the lane only; shorts keep out of lane endpoints that run a long.
-fn is_allowed(index: usize, state: &EndpointState, class: WorkClass, lane_size: usize) -> bool {
+/// Longs run in the lane only. Shorts keep out of endpoints that run a long, and out of the whole
+/// lane while a long waits for memory there.
+fn is_allowed(
+    index: usize,
+    state: &EndpointState,
+    class: WorkClass,
+    (lane_size, lane_use): (usize, LaneUse),
+) -> bool {
+    let is_in_lane = index < lane_size;
     match class {
-        WorkClass::Long => index < lane_size,
+        WorkClass::Long => is_in_lane,
+        WorkClass::Short if is_in_lane && lane_use == LaneUse::LongOnly => false,
         WorkClass::Short => state.long_grants() == 0,
     }
 }
 
+/// Who may use the endpoints of the long lane.
+#[derives::tag]
+pub(super) enum LaneUse {
+    /// Shorts may, where no long runs.
+    Shared,
+    /// Longs wait for them.
+    LongOnly,
+}
+
 fn split(tokens: u64, states: &[&EndpointState]) -> Vec<GrantPart> {
     let mut left = tokens;
     let mut parts = Vec::new();
--- a/crates/policy/src/pool/table.rs
+++ b/crates/policy/src/pool/table.rs
@@ -6,9 +6,9 @@
 use super::ask::{
     Grant, GrantAsk, GrantDecision, GrantId, GrantPart, Sharing, TicketId, WorkClass,
 };
-use super::endpoint::{EndpointHealth, EndpointSpec, EndpointState};
+use super::endpoint::{EndpointHealth, EndpointSpec, EndpointState, hold_of};
 use super::lane::{LanePolicy, LongLane};
-use super::place::{PlaceView, Placement};
+use super::place::{LaneUse, PlaceView, Placement};
 use super::queue::{FairQueue, Waiting};
 use crate::ids::{AttemptId, EndpointId, Millis};
 use crate::outcome::{Refusal, RefusalReason};
@@ -140,9 +140,10 @@
     fn add_endpoint(&mut self, spec: EndpointSpec, health: EndpointHealth) {
         let state = EndpointState::new(spec, health);
         self.endpoints.insert(state.spec.id.clone(), state);
-        let largest = self.endpoints.len() * self.limits.lane_largest_percent / 100;
-        let smallest = self.limits.lane_smallest.min(self.endpoints.len());
-        self.lane = LongLane::new(self.limits.lane, smallest, largest.max(smallest));
+        let count = self.endpoints.len();
+        let largest = count * self.limits.lane_largest_percent / 100;
+        let smallest = self.limits.lane_smallest.min(count);
+        self.lane = LongLane::new(self.limits.lane, smallest, largest);
     }
 
     /// Whether nothing waits.
@@ -370,9 +371,8 @@
         if !memory.is_empty() && tokens > span {
             return Some(Refusal::new(RefusalReason::PromptTooLarge, 0));
         }
-        let is_usable = |state: &EndpointState| {
-            state.is_usable(now) && !ask.excluded.contains(&state.spec.id)
-        };
+        let is_usable =
+            |state: &EndpointState| state.is_usable(now) && !ask.excluded.contains(&state.spec.id);
         if !self.endpoints.values().any(is_usable) {
             return Some(Refusal::new(
                 RefusalReason::NoEndpoint,
@@ -469,8 +469,7 @@
             .endpoints
             .get_mut(&part.endpoint)
             .expect("a placement names endpoints of the table");
-        let hold = state.hold(ask, part, class, now);
-        state.add(id, hold);
+        state.add(id, hold_of(ask, part, class, now));
         assert!(
             state.used_tokens() <= state.spec.memory_tokens,
             "reserved memory exceeds the endpoint's"
@@ -485,7 +484,20 @@
             .max()
             .unwrap_or(1);
         let queued = self.long_queue.queued_tokens() * 1_000 / rate.max(1);
-        self.lane.follow(self.long_work + queued);
+        let needed = self.needed_span();
+        self.lane.follow(self.long_work + queued, needed);
+    }
+
+    /// Endpoints over which the next waiting long prompt has to be spread.
+    fn needed_span(&mut self) -> usize {
+        let memory = self
+            .endpoints
+            .values()
+            .map(|state| state.spec.memory_tokens);
+        let largest = memory.max().unwrap_or(1).max(1);
+        let head = self.long_queue.head();
+        let tokens = head.map_or(0, |waiting| waiting.ask.memory_tokens());
+        usize::try_from(tokens.div_ceil(largest)).unwrap_or(usize::MAX)
     }
 
     fn view(&self, ask: &GrantAsk, now: Millis) -> PlaceView<'_> {
@@ -496,6 +508,11 @@
             endpoints: &self.endpoints,
             prefixes: &self.prefixes,
             lane_size: self.lane.size(),
+            lane_use: if self.long_queue.is_empty() {
+                LaneUse::Shared
+            } else {
+                LaneUse::LongOnly
+            },
             largest_span: self.limits.largest_span,
             now,
         }
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -32,6 +32,10 @@
 }
 
 /// Hashes the prefixes of `prompt` at each mark that it reaches, shortest first.
+///
+/// # Panics
+///
+/// When a mark does not fit in 64 bits, which none does.
 #[must_use]
 pub fn prompt_prefixes(prompt: &[u8]) -> Vec<PromptPrefix> {
     BLOCK_BYTES
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -84,12 +84,9 @@
 
     /// The budget of `key`.
     pub fn budget(&mut self, key: &K) -> &mut RetryBudget {
-        if !self.budgets.contains_key(key) {
-            let budget = RetryBudget::new(self.limits.clone());
-            self.budgets.insert(key.clone(), budget);
-        }
+        let limits = &self.limits;
         self.budgets
-            .get_mut(key)
-            .expect("the budget was inserted above")
+            .entry(key.clone())
+            .or_insert_with(|| RetryBudget::new(limits.clone()))
     }
 }
--- /dev/null
+++ b/crates/scenarios/tests/support/caller_client.rs
@@ -0,0 +1,196 @@
+//! A caller: sends completions and service calls, and reads their answers.
+
+use std::time::{Duration, Instant};
+
+use eventsource_stream::Eventsource;
+use futures::StreamExt;
+use ntex::http::Method;
+use ntex::util::Bytes;
+use serde_json::{Value, json};
+use uuid::Uuid;
+
+use super::fleet::{API_KEY, EntryNode, Fleet, MODEL};
+
+/// How a streamed answer ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AnswerEnd {
+    /// With the done mark.
+    Whole,
+    /// With an `error` event, or an answer other than 200; the body's `error` member.
+    Error { reason: String, ran: String },
+    /// Without either.
+    Cut,
+}
+
+/// A streamed answer as a caller saw it.
+#[derive(Debug, Clone)]
+pub struct StreamedAnswer {
+    pub status: u16,
+    pub text: String,
+    pub end: AnswerEnd,
+    pub first_token: Duration,
+    pub took: Duration,
+    pub retry_after: String,
+}
+
+/// What a completion asks for.
+#[derive(Debug, Clone)]
+pub struct CompletionPlan {
+    pub prompt: String,
+    pub tokens: u64,
+    pub timeout_ms: u64,
+}
+
+impl CompletionPlan {
+    pub fn new(prompt: &str, tokens: u64) -> Self {
+        Self {
+            prompt: prompt.to_owned(),
+            tokens,
+            timeout_ms: 15_000,
+        }
+    }
+
+    pub fn with_timeout(mut self, timeout_ms: u64) -> Self {
+        self.timeout_ms = timeout_ms;
+        self
+    }
+}
+
+/// A service call's answer as a caller saw it.
+#[derive(Debug, Clone)]
+pub struct CallAnswer {
+    pub status: u16,
+    pub body: Value,
+    pub replayed: bool,
+    pub took: Duration,
+}
+
+impl CallAnswer {
+    pub fn reason(&self) -> &str {
+        self.body["error"]["reason"].as_str().unwrap_or("")
+    }
+
+    pub fn ran(&self) -> &str {
+        self.body["error"]["ran"].as_str().unwrap_or("")
+    }
+}
+
+pub fn fresh_key() -> String {
+    Uuid::now_v7().to_string()
+}
+
+impl Fleet {
+    /// Sends a completion and reads the streamed answer to its end.
+    pub async fn complete(&self, at: &EntryNode, plan: &CompletionPlan) -> StreamedAnswer {
+        self.complete_with(at, plan, async |_| {}).await
+    }
+
+    /// As `complete`, and runs `on_text` after each piece of text with the text so far.
+    pub async fn complete_with(
+        &self,
+        at: &EntryNode,
+        plan: &CompletionPlan,
+        on_text: impl AsyncFn(&str),
+    ) -> StreamedAnswer {
+        let body = json!({
+            "model": MODEL,
+            "prompt": plan.prompt,
+            "max_tokens": plan.tokens,
+            "stream": true,
+        });
+        let url = format!("http://{}/v1/completions", at.callers);
+        let request = self
+            .link
+            .request(Method::POST, &url)
+            .header("authorization", format!("Bearer {API_KEY}"))
+            .header("x-request-timeout-ms", plan.timeout_ms.to_string());
+        let start = Instant::now();
+        let response = self.link.send(request, body.to_string().into()).await;
+        let mut answer = StreamedAnswer {
+            status: 0,
+            text: String::new(),
+            end: AnswerEnd::Cut,
+            first_token: Duration::MAX,
+            took: Duration::MAX,
+            retry_after: String::new(),
+        };
+        let Ok(response) = response else {
+            answer.took = start.elapsed();
+            return answer;
+        };
+        answer.status = response.status().as_u16();
+        if let Some(value) = response.headers().get("retry-after") {
+            answer.retry_after = value.to_str().unwrap_or("").to_owned();
+        }
+        if answer.status != 200 {
+            let body = self.link.read_body(&response).await.unwrap_or_default();
+            answer.end = error_end(&String::from_utf8_lossy(&body));
+            answer.took = start.elapsed();
+            return answer;
+        }
+        let mut events = response.eventsource();
+        while let Some(Ok(event)) = events.next().await {
+            if event.event == "error" {
+                answer.end = error_end(&event.data);
+            } else if event.data == "[DONE]" {
+                answer.end = AnswerEnd::Whole;
+            } else {
+                if answer.text.is_empty() {
+                    answer.first_token = start.elapsed();
+                }
+                let chunk: Value = serde_json::from_str(&event.data).expect("a chunk is JSON");
+                let text = chunk["choices"][0]["text"].as_str().unwrap_or("");
+                answer.text.push_str(text);
+                on_text(&answer.text).await;
+            }
+        }
+        answer.took = start.elapsed();
+        answer
+    }
+
+    /// Sends a service call.
+    pub async fn call(
+        &self,
+        at: &EntryNode,
+        service: &str,
+        call: &str,
+        key: &str,
+        timeout_ms: u64,
+    ) -> CallAnswer {
+        let url = format!("http://{}/services/{service}/run", at.callers);
+        let mut request = self
+            .link
+            .request(Method::POST, &url)
+            .header("authorization", format!("Bearer {API_KEY}"))
+            .header("x-request-timeout-ms", timeout_ms.to_string())
+            .header("x-call", call);
+        if !key.is_empty() {
+            request = request.header("idempotency-key", key);
+        }
+        let start = Instant::now();
+        let Ok(response) = self.link.send(request, Bytes::from_static(b"{}")).await else {
+            return CallAnswer {
+                status: 0,
+                body: Value::Null,
+                replayed: false,
+                took: start.elapsed(),
+            };
+        };
+        let body = self.link.read_body(&response).await.unwrap_or_default();
+        CallAnswer {
+            status: response.status().as_u16(),
+            body: serde_json::from_slice(&body).unwrap_or(Value::Null),
+            replayed: response.headers().contains_key("idempotency-replayed"),
+            took: start.elapsed(),
+        }
+    }
+}
+
+fn error_end(text: &str) -> AnswerEnd {
+    let body: Value = serde_json::from_str(text).unwrap_or(Value::Null);
+    let member = |name: &str| body["error"][name].as_str().unwrap_or("").to_owned();
+    AnswerEnd::Error {
+        reason: member("reason"),
+        ran: member("ran"),
+    }
+}
--- /dev/null
+++ b/crates/scenarios/tests/support/fleet.rs
@@ -0,0 +1,417 @@
+//! A fleet of entry instances and stand-ins on loopback.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use caller::KeyDigest;
+use ntex::http::Method;
+use ntex::time::{Millis, sleep};
+use operator::ChangeForm;
+use serde_json::{Value, json};
+use transport::{ExchangeLimits, HttpLink};
+
+use super::process::{Signal, TestProcess};
+
+pub const API_KEY: &str = "test-key";
+pub const MODEL: &str = "advice";
+const ENTRY: &str = "jackdawpoint-entry";
+const STANDIN: &str = "jackdawpoint-standin";
+
+/// Longest time that a test waits for anything.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A stand-in process and where it listens.
+pub struct Standin {
+    pub process: TestProcess,
+    pub address: SocketAddr,
+    args: Vec<String>,
+}
+
+impl Standin {
+    pub fn new(args: &[&str]) -> Self {
+        let mut all = args.to_vec();
+        all.extend(["--listen", "127.0.0.1:0"]);
+        let (process, address) = TestProcess::with_address(STANDIN, &all);
+        Self {
+            process,
+            address,
+            args: args.iter().map(ToString::to_string).collect(),
+        }
+    }
+
+    /// Starts the stand-in again on the same address, without its state.
+    pub fn restart(&mut self) {
+        self.process.signal(Signal::Kill);
+        self.process.wait(PATIENCE);
+        self.start_again();
+    }
+
+    /// Starts a stand-in that has ended by itself again.
+    pub fn start_again(&mut self) {
+        let listen = self.address.to_string();
+        let mut all: Vec<&str> = self.args.iter().map(String::as_str).collect();
+        all.extend(["--listen", &listen]);
+        let (process, _) = TestProcess::with_address(STANDIN, &all);
+        self.process = process;
+    }
+}
+
+/// One entry instance's process and addresses.
+pub struct EntryNode {
+    pub name: String,
+    pub process: TestProcess,
+    pub callers: SocketAddr,
+    pub operators: SocketAddr,
+    pub peers: SocketAddr,
+    settings: PathBuf,
+}
+
+impl EntryNode {
+    /// Starts the instance again with the same settings, after its process has ended.
+    pub fn start_again(&mut self) {
+        let file = self.settings.to_str().expect("the path is text");
+        self.process = TestProcess::new(ENTRY, &["--settings", file]);
+    }
+}
+
+/// What a fleet is made of.
+pub struct FleetPlan {
+    pub domains: Vec<&'static str>,
+    pub entries: usize,
+    pub engines: usize,
+    pub services: usize,
+    pub engine_args: Vec<&'static str>,
+    pub limits: Value,
+}
+
+impl Default for FleetPlan {
+    fn default() -> Self {
+        Self {
+            domains: vec!["a"],
+            entries: 2,
+            engines: 2,
+            services: 1,
+            engine_args: Vec::new(),
+            limits: json!({ "lame_duck_ms": 200 }),
+        }
+    }
+}
+
+/// A fleet's processes; they end with it.
+pub struct Fleet {
+    pub key_value: Standin,
+    pub instances: Standin,
+    pub weights: Standin,
+    pub engines: Vec<Standin>,
+    pub services: Vec<Standin>,
+    pub entries: Vec<EntryNode>,
+    pub link: HttpLink,
+}
+
+struct NodeAddresses {
+    domain: &'static str,
+    name: String,
+    callers: SocketAddr,
+    operators: SocketAddr,
+    peers: SocketAddr,
+}
+
+impl Fleet {
+    /// Starts a fleet, waits until it is ready and gives it a template and an account.
+    pub async fn start(plan: FleetPlan) -> Self {
+        let fleet = Self::start_unconfigured(plan).await;
+        fleet.configure().await;
+        fleet
+    }
+
+    pub async fn start_unconfigured(plan: FleetPlan) -> Self {
+        let mut engine_args = vec!["engine"];
+        engine_args.extend(&plan.engine_args);
+        let engines = (0..plan.engines * plan.domains.len()).map(|_| Standin::new(&engine_args));
+        let services = (0..plan.services).map(|_| Standin::new(&["service"]));
+        let mut fleet = Self {
+            key_value: Standin::new(&["key-value"]),
+            instances: Standin::new(&["instances"]),
+            weights: Standin::new(&["weights"]),
+            engines: engines.collect(),
+            services: services.collect(),
+            entries: Vec::new(),
+            link: HttpLink::new(ExchangeLimits {
+                head: PATIENCE,
+                ..ExchangeLimits::default()
+            })
+            .await,
+        };
+        let nodes = node_addresses(&plan);
+        for node in &nodes {
+            let settings = fleet.settings(&plan, node, &nodes);
+            let file = write_settings(&node.name, &settings);
+            let path = file.to_str().expect("the path is text").to_owned();
+            fleet.entries.push(EntryNode {
+                name: node.name.clone(),
+                process: TestProcess::new(ENTRY, &["--settings", &path]),
+                callers: node.callers,
+                operators: node.operators,
+                peers: node.peers,
+                settings: file,
+            });
+        }
+        for entry in &fleet.entries {
+            fleet.wait_ready(entry).await;
+        }
+        fleet.wait_for_members(plan.entries).await;
+        fleet
+    }
+
+    /// Waits until every instance sees its whole domain.
+    async fn wait_for_members(&self, count: usize) {
+        for entry in &self.entries {
+            self.eventually("the members know each other", async || {
+                let status = self.status(entry).await;
+                let members = status["members"].as_array().expect("a list");
+                let alive = members.iter().filter(|row| row["status"] == "alive");
+                alive.count() == count
+            })
+            .await;
+        }
+    }
+
+    fn settings(&self, plan: &FleetPlan, node: &NodeAddresses, nodes: &[NodeAddresses]) -> Value {
+        let first = plan.domains.iter().position(|one| *one == node.domain);
+        let first = first.expect("the domain is planned") * plan.engines;
+        let engines = self.engines[first..first + plan.engines].iter();
+        let engines: Vec<Value> = engines
+            .enumerate()
+            .map(|(index, engine)| {
+                json!({
+                    "name": format!("{}-engine-{index}", node.domain),
+                    "address": engine.address,
+                    "slots": 32,
+                    "memory_tokens": 400_000,
+                    "prefill_rate": 1_000_000,
+                })
+            })
+            .collect();
+        let services: Vec<Value> = self
+            .services
+            .iter()
+            .enumerate()
+            .map(|(index, service)| {
+                json!({ "name": format!("orders-{index}"), "address": service.address })
+            })
+            .collect();
+        let seeds = |domain: &str| -> Vec<SocketAddr> {
+            let same = nodes.iter().filter(|one| one.domain == domain);
+            same.map(|one| one.peers).collect()
+        };
+        let others: Vec<Value> = plan
+            .domains
+            .iter()
+            .filter(|domain| **domain != node.domain)
+            .map(|domain| json!({ "name": domain, "peers": seeds(domain) }))
+            .collect();
+        json!({
+            "instance": node.name,
+            "failure_domain": node.domain,
+            "listen": {
+                "callers": node.callers,
+                "operators": node.operators,
+                "peers": node.peers,
+            },
+            "peers": seeds(node.domain),
+            "other_domains": others,
+            "platform": {
+                "key_value": self.key_value.address,
+                "instances": self.instances.address,
+                "weights": self.weights.address,
+            },
+            "pools": [{ "name": "advice", "models": [MODEL], "engines": engines }],
+            "services": [
+                { "name": "orders", "endpoints": services },
+                { "name": "lookup", "endpoints": lookup_names(&services) },
+            ],
+            "limits": plan.limits,
+        })
+    }
+
+    pub async fn wait_ready(&self, entry: &EntryNode) {
+        let url = format!("http://{}/ready", entry.callers);
+        self.eventually("the instance is ready", async || {
+            let request = self.link.request(Method::GET, &url);
+            let answer = self.link.send(request, ntex::util::Bytes::new()).await;
+            answer.is_ok_and(|answer| answer.status().is_success())
+        })
+        .await;
+    }
+
+    /// Waits until a condition holds.
+    pub async fn eventually(&self, what: &str, holds: impl AsyncFn() -> bool) {
+        let end = Instant::now() + PATIENCE;
+        while !holds().await {
+            assert!(Instant::now() < end, "waited in vain: {what}");
+            sleep(Millis(20)).await;
+        }
+    }
+
+    pub async fn configure(&self) {
+        self.set_template(&self.entries[0], 64, None).await;
+        let account = json!({ "account": {
+            "name": "family",
+            "key_sha256": KeyDigest::new(API_KEY).as_str(),
+            "template": "parents",
+        }});
+        self.put("/operator/accounts/family", &account, None).await;
+    }
+
+    /// Writes the template with a bound on generated tokens; gives the answer.
+    pub async fn set_template(
+        &self,
+        at: &EntryNode,
+        output_tokens: u64,
+        if_version: Option<u64>,
+    ) -> (u16, Value) {
+        let template = json!({ "template": {
+            "name": "parents",
+            "models": [{ "model": MODEL }],
+            "services": [
+                { "service": "orders", "calls": "once" },
+                { "service": "lookup", "calls": "idempotent" },
+            ],
+            "output_tokens": output_tokens,
+        }});
+        self.put_at(at, "/operator/templates/parents", &template, if_version)
+            .await
+    }
+
+    async fn put(&self, path: &str, body: &Value, if_version: Option<u64>) -> (u16, Value) {
+        self.put_at(&self.entries[0], path, body, if_version).await
+    }
+
+    async fn put_at(
+        &self,
+        at: &EntryNode,
+        path: &str,
+        body: &Value,
+        if_version: Option<u64>,
+    ) -> (u16, Value) {
+        let form = ChangeForm {
+            body: serde_json::from_value(body.clone()).expect("the body is a document"),
+            author: "test".to_owned(),
+            if_version,
+        };
+        let form = serde_json::to_value(&form).expect("a form has a JSON form");
+        self.send_json(at.operators, Method::PUT, path, &form).await
+    }
+
+    pub async fn send_json(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> (u16, Value) {
+        let url = format!("http://{address}{path}");
+        let request = self
+            .link
+            .request(method, &url)
+            .content_type("application/json");
+        let body = match body {
+            Value::Null => Vec::new(),
+            body => body.to_string().into_bytes(),
+        };
+        let answer = self.link.send(request, body.into()).await;
+        let answer = answer.unwrap_or_else(|fault| panic!("{url} gave no answer: {fault:?}"));
+        let status = answer.status().as_u16();
+        let body = self.link.read_body(&answer).await.unwrap_or_default();
+        (status, serde_json::from_slice(&body).unwrap_or(Value::Null))
+    }
+
+    pub async fn status(&self, entry: &EntryNode) -> Value {
+        let path = "/operator/status";
+        self.send_json(entry.operators, Method::GET, path, &Value::Null)
+            .await
+            .1
+    }
+
+    /// Sets a stand-in's faults.
+    pub async fn fault(&self, standin: &Standin, faults: Value) {
+        let (status, _) = self
+            .send_json(standin.address, Method::POST, "/faults", &faults)
+            .await;
+        assert_eq!(status, 200, "the stand-in does not know the fault");
+    }
+
+    /// How often each call ran, over all service stand-ins.
+    pub async fn executions(&self, call: &str) -> u64 {
+        let mut runs = 0;
+        for service in &self.services {
+            let path = "/executions";
+            let answer = self.send_json(service.address, Method::GET, path, &Value::Null);
+            runs += answer.await.1[call].as_u64().unwrap_or(0);
+        }
+        runs
+    }
+
+    /// Tokens of memory in use on an engine.
+    pub async fn used_tokens(&self, engine: &Standin) -> u64 {
+        let path = "/v1/report";
+        let answer = self.send_json(engine.address, Method::GET, path, &Value::Null);
+        answer.await.1["used_tokens"].as_u64().expect("a number")
+    }
+
+    /// Reads one metric of an entry instance.
+    pub async fn metric(&self, entry: &EntryNode, name: &str) -> f64 {
+        let url = format!("http://{}/metrics", entry.callers);
+        let request = self.link.request(Method::GET, &url);
+        let answer = self.link.send(request, ntex::util::Bytes::new()).await;
+        let answer = answer.expect("the instance answers");
+        let body = self.link.read_body(&answer).await.expect("a whole body");
+        let text = String::from_utf8_lossy(&body).into_owned();
+        let value = text
+            .lines()
+            .find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        let value = value.unwrap_or_else(|| panic!("no metric {name}"));
+        value.parse().expect("a number")
+    }
+}
+
+fn lookup_names(services: &[Value]) -> Vec<Value> {
+    services
+        .iter()
+        .enumerate()
+        .map(|(index, service)| {
+            json!({ "name": format!("lookup-{index}"), "address": service["address"] })
+        })
+        .collect()
+}
+
+fn node_addresses(plan: &FleetPlan) -> Vec<NodeAddresses> {
+    let mut nodes = Vec::new();
+    for domain in &plan.domains {
+        for index in 0..plan.entries {
+            nodes.push(NodeAddresses {
+                domain,
+                name: format!("{domain}-{index}"),
+                callers: free_address(),
+                operators: free_address(),
+                peers: free_address(),
+            });
+        }
+    }
+    nodes
+}
+
+/// A loopback address whose port was free a moment ago.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+    listener.local_addr().expect("the listener has an address")
+}
+
+/// Writes settings to a file of the test's own.
+pub fn write_settings(name: &str, settings: &Value) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let file = folder.join(format!("{}-{name}.json", uuid::Uuid::now_v7().simple()));
+    std::fs::write(&file, settings.to_string()).expect("the folder can be written");
+    file
+}
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -57,7 +57,7 @@
 }
 
 /// Longest time of a call, beyond the caller's own bound.
-const LONGEST_CALL: Duration = Duration::from_secs(3_600);
+const LONGEST_CALL: Duration = Duration::from_hours(1);
 
 /// Plain services over HTTP, called from one thread.
 #[derive(Debug, Clone)]
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -110,10 +110,7 @@
 fn check_name(path: &str, name: &str) -> Result<(), SettingsFault> {
     let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
     if name.is_empty() || name.len() > 128 || !name.bytes().all(is_allowed) {
-        return fault(
-            path,
-            "1 to 128 letters, digits, '-', '_' or '.'",
-        );
+        return fault(path, "1 to 128 letters, digits, '-', '_' or '.'");
     }
     Ok(())
 }
@@ -126,5 +123,5 @@
 }
 
 fn fault(path: &str, expected: &str) -> Result<(), SettingsFault> {
-    Err(SettingsFault::new(path, format!("expected {expected}")))
+    Err(SettingsFault::new(path, &format!("expected {expected}")))
 }
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -16,7 +16,7 @@
 impl SettingsFault {
     /// A fault of the member at `path`.
     #[must_use]
-    pub fn new(path: &str, problem: String) -> Self {
+    pub fn new(path: &str, problem: &str) -> Self {
         Self {
             path: path.to_owned(),
             problem: problem.replace('\n', " "),
@@ -42,11 +42,11 @@
     let settings: EntrySettings =
         serde_path_to_error::deserialize(&mut reader).map_err(|error| {
             let path = error.path().to_string();
-            SettingsFault::new(&path, error.into_inner().to_string())
+            SettingsFault::new(&path, &error.into_inner().to_string())
         })?;
     reader
         .end()
-        .map_err(|error| SettingsFault::new(".", error.to_string()))?;
+        .map_err(|error| SettingsFault::new(".", &error.to_string()))?;
     check_settings(&settings)?;
     Ok(settings)
 }
@@ -58,7 +58,7 @@
 /// As [`parse_settings`]; a file that cannot be read is a fault of the path `.`.
 pub fn load_settings(file: &Path) -> Result<EntrySettings, SettingsFault> {
     let text = std::fs::read_to_string(file)
-        .map_err(|error| SettingsFault::new(".", format!("cannot read the file: {error}")))?;
+        .map_err(|error| SettingsFault::new(".", &format!("cannot read the file: {error}")))?;
     parse_settings(&text)
 }
 
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -145,9 +145,7 @@
 async fn listing(engine: Engine) -> HttpResponse {
     wait_while_frozen(&engine).await;
     let table = engine.table.lock();
-    let row = |attempt: &String, owner: &String, tokens: u64| {
-        serde_json::json!({ "attempt": attempt, "owner": owner, "tokens": tokens })
-    };
+    let row = |attempt: &String, owner: &String, tokens: u64| serde_json::json!({ "attempt": attempt, "owner": owner, "tokens": tokens });
     let streams: Vec<_> = table
         .streams
         .iter()
@@ -234,7 +232,7 @@
         .cache
         .iter()
         .take(published)
-        .last()
+        .next_back()
         .map_or(query.after, |(number, _)| *number);
     HttpResponse::Ok().json(&serde_json::json!({ "newest": newest, "events": events }))
 }
--- a/crates/standin/src/key_value.rs
+++ b/crates/standin/src/key_value.rs
@@ -92,7 +92,11 @@
         let lapsed: Vec<String> = self
             .entries
             .iter()
-            .filter(|(_, entry)| entry.lease.is_some_and(|lease| !leases.contains_key(&lease)))
+            .filter(|(_, entry)| {
+                entry
+                    .lease
+                    .is_some_and(|lease| !leases.contains_key(&lease))
+            })
             .map(|(key, _)| key.clone())
             .collect();
         for key in lapsed {
@@ -361,11 +365,7 @@
     }
 }
 
-async fn put(
-    store: Store,
-    key: types::Path<String>,
-    form: types::Json<PutForm>,
-) -> HttpResponse {
+async fn put(store: Store, key: types::Path<String>, form: types::Json<PutForm>) -> HttpResponse {
     if let CallFate::Failed = store.admit(count_write).await {
         return failed();
     }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -16,18 +16,30 @@
 #[derives::wire]
 #[serde(default, deny_unknown_fields)]
 pub struct ServiceFaults {
-    /// Calls run, but get no answer while this holds.
-    pub silent_after_run: bool,
-    /// Calls get no answer and do not run while this holds.
-    pub frozen: bool,
-    /// The next call runs, then the process exits without an answer.
-    pub exit_after_run: bool,
-    /// The next call makes the process exit before it runs.
-    pub exit_before_run: bool,
+    /// What becomes of a call.
+    pub behaviour: CallBehaviour,
     /// Milliseconds that a call takes.
     pub run_ms: u64,
 }
 
+/// What becomes of a call.
+#[derive(Default, Copy, Eq)]
+#[derives::wire]
+#[serde(rename_all = "snake_case")]
+pub enum CallBehaviour {
+    /// It runs and is answered.
+    #[default]
+    Answer,
+    /// It runs, but gets no answer while this holds.
+    SilentAfterRun,
+    /// It does not run and gets no answer while this holds.
+    Frozen,
+    /// It runs, then the process exits without an answer.
+    ExitAfterRun,
+    /// The process exits before the call runs.
+    ExitBeforeRun,
+}
+
 #[derive(Debug, Default)]
 struct ServiceTable {
     executions: BTreeMap<String, u32>,
@@ -80,6 +92,10 @@
         Ok(RunningStandin { address, server })
     }
 
+    fn behaves(&self, behaviour: CallBehaviour) -> bool {
+        self.table.lock().faults.behaviour == behaviour
+    }
+
     fn run(&self, call: &str) -> u32 {
         let mut table = self.table.lock();
         let count = table.executions.entry(call.to_owned()).or_default();
@@ -91,9 +107,9 @@
 type Service = types::State<ServiceStandin>;
 
 async fn run_call(service: Service, request: HttpRequest, body: Bytes) -> HttpResponse {
-    hold_while(|| service.table.lock().faults.frozen).await;
+    hold_while(|| service.behaves(CallBehaviour::Frozen)).await;
     let faults = service.table.lock().faults.clone();
-    if faults.exit_before_run {
+    if faults.behaviour == CallBehaviour::ExitBeforeRun {
         std::process::exit(DEATH_EXIT);
     }
     pause(Duration::from_millis(faults.run_ms)).await;
@@ -103,10 +119,10 @@
         .and_then(|value| value.to_str().ok())
         .unwrap_or("unnamed");
     let count = service.run(call);
-    if faults.exit_after_run {
+    if faults.behaviour == CallBehaviour::ExitAfterRun {
         std::process::exit(DEATH_EXIT);
     }
-    hold_while(|| service.table.lock().faults.silent_after_run).await;
+    hold_while(|| service.behaves(CallBehaviour::SilentAfterRun)).await;
     HttpResponse::Ok()
         .header("x-method", request.method().as_str())
         .json(&serde_json::json!({
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,1 +1,61 @@
-fn main() {}
+//! Chores of the workspace.
+
+use std::process::Command;
+
+use anyhow::{Context, ensure};
+use clap::{Parser, Subcommand};
+
+/// Chores of the workspace.
+#[derive(Debug, Parser)]
+struct ChoreArgs {
+    #[command(subcommand)]
+    chore: Chore,
+}
+
+#[derive(Debug, Subcommand)]
+enum Chore {
+    /// Checks formatting and lints, warnings denied.
+    Lint,
+    /// Builds the programs and runs every test.
+    Test,
+    /// Writes the codec of the peers' messages anew; needs `capnp` and `capnpc-rust`.
+    Generate,
+}
+
+fn main() -> anyhow::Result<()> {
+    match ChoreArgs::parse().chore {
+        Chore::Lint => lint(),
+        Chore::Test => test(),
+        Chore::Generate => generate(),
+    }
+}
+
+fn lint() -> anyhow::Result<()> {
+    run("cargo", &["fmt", "--all", "--check"])?;
+    let clippy = ["clippy", "--workspace", "--all-targets", "--locked", "--"];
+    run("cargo", &[&clippy[..], &["-D", "warnings"]].concat())
+}
+
+fn test() -> anyhow::Result<()> {
+    run("cargo", &["build", "--workspace", "--bins", "--locked"])?;
+    run("cargo", &["test", "--workspace", "--locked"])
+}
+
+fn generate() -> anyhow::Result<()> {
+    let args = [
+        "compile",
+        "-orust:crates/peer-schema/src",
+        "--src-prefix=crates/peer-schema/schema",
+        "crates/peer-schema/schema/peer.capnp",
+    ];
+    run("capnp", &args)
+}
+
+fn run(program: &str, args: &[&str]) -> anyhow::Result<()> {
+    let status = Command::new(program)
+        .args(args)
+        .status()
+        .with_context(|| format!("cannot run {program}"))?;
+    ensure!(status.success(), "{program} {args:?} failed: {status}");
+    Ok(())
+}
