--- a/crates/caller/src/completion.rs
+++ b/crates/caller/src/completion.rs
@@ -1,7 +1,6 @@
 //! Completions and chat completions.
 
 use std::borrow::Cow;
-use std::time::Instant;
 
 use futures::StreamExt;
 use ntex::util::Bytes;
@@ -10,6 +9,7 @@
 use policy::prefix::prompt_prefixes;
 use serde::Deserialize;
 use serde_json::value::RawValue;
+use tokio::time::Instant;
 
 use crate::answer::{collect_whole, event_stream};
 use crate::gateway::{AnswerPart, CallerGateway, CompletionKind, CompletionRequest, KeyDigest};
--- a/crates/caller/src/gateway.rs
+++ b/crates/caller/src/gateway.rs
@@ -1,7 +1,5 @@
 //! What serves the callers' requests, as a trait at the border of the package.
 
-use std::time::Instant;
-
 use futures::future::LocalBoxFuture;
 use futures::stream::LocalBoxStream;
 use ntex::util::Bytes;
@@ -10,6 +8,7 @@
 use policy::prefix::PromptPrefix;
 use service::{ServiceAnswer, ServiceCall};
 use sha2::{Digest, Sha256};
+use tokio::time::Instant;
 
 /// SHA-256 of an API key, in lower-case hexadecimal digits.
 #[derives::value]
--- a/crates/caller/src/routes.rs
+++ b/crates/caller/src/routes.rs
@@ -1,10 +1,10 @@
 //! The callers' paths.
 
 use std::rc::Rc;
-use std::time::Instant;
 
 use ntex::web::types::{Payload, State};
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
+use tokio::time::Instant;
 
 use crate::body::read_body;
 use crate::completion::complete;
--- a/crates/caller/src/service_call.rs
+++ b/crates/caller/src/service_call.rs
@@ -1,12 +1,11 @@
 //! Calls of plain services.
 
-use std::time::Instant;
-
 use ntex::http::header::HeaderName;
 use ntex::util::Bytes;
 use ntex::web::{HttpRequest, HttpResponse};
 use policy::outcome::RefusalReason;
 use service::{ServiceAnswer, ServiceCall, end_to_end};
+use tokio::time::Instant;
 
 use crate::completion::{api_key, request_timeout};
 use crate::gateway::{CallAnswer, CallRequest, CallerGateway};
--- a/crates/entry/src/announcements.rs
+++ b/crates/entry/src/announcements.rs
@@ -38,7 +38,7 @@
             LeavingSubject::Instance(instance) => {
                 let me = self.tables.me();
                 if *instance == me.instance && announcement.incarnation >= me.incarnation {
-                    Self::spawn(drain_instance(self.tables.clone()));
+                    self.spawn(drain_instance(self.tables.clone()));
                 }
             }
         }
@@ -74,7 +74,7 @@
     pub(crate) async fn exchange_announcements(self: &Rc<Self>, address: &str) {
         let ours = self.announcements();
         self.tables.metrics.peer_messages.inc();
-        if let Ok(theirs) = self.links.announce(address, &ours).await {
+        if let Ok(theirs) = self.ports.peers.announce(address, &ours).await {
             self.record_announcements(&theirs);
         }
     }
@@ -110,7 +110,7 @@
         let ours = self.announcements();
         let calls = others.iter().map(|(instance, address)| {
             self.tables.metrics.peer_messages.inc();
-            let call = self.links.announce(address, &ours);
+            let call = self.ports.peers.announce(address, &ours);
             async move { (instance.clone(), call.await.is_ok()) }
         });
         join_all(calls).await
@@ -186,7 +186,7 @@
         }
         let calls = addresses.iter().map(|address| {
             self.tables.metrics.peer_messages.inc();
-            self.links.crashed(address, &report)
+            self.ports.peers.crashed(address, &report)
         });
         join_all(calls).await;
     }
@@ -194,7 +194,7 @@
     /// Takes the fingerprints that the instance at `address` has quarantined.
     pub(crate) async fn fetch_quarantine(&self, address: &str) {
         self.tables.metrics.peer_messages.inc();
-        let Ok(prints) = self.links.quarantined(address).await else {
+        let Ok(prints) = self.ports.peers.quarantined(address).await else {
             return;
         };
         let now = self.tables.now();
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use platform::{CasVerdict, KeyValue, KeyValueFault, StoredKey};
+use platform::{CasVerdict, KeyValueFault, StoredKey};
 use policy::claim::{
     CLAIM_PREFIX, ClaimChange, ClaimEdit, ClaimPlace, ClaimSlot, ClaimVerdict, is_slot_expired,
     slot_minute,
@@ -13,7 +13,6 @@
 use policy::steward::steward_of;
 use tokio::sync::oneshot;
 
-use crate::clock::unix_millis;
 use crate::control::Control;
 
 /// The key-value service did not settle a claim in time; it may stand all the same.
@@ -74,7 +73,7 @@
             is_first
         };
         if is_first {
-            Self::spawn(self.clone().write_slot(place.slot.clone()));
+            self.spawn(self.clone().write_slot(place.slot.clone()));
         }
         answer.await.map_err(|_| ClaimUnavailable)
     }
@@ -136,7 +135,10 @@
         }
         let value = serde_json::to_string(&slot).map_err(|_| SwapSetback::Fault)?;
         self.tables.metrics.platform_calls.inc();
-        let swap = self.platform.compare_and_swap(key, &value, revision, None);
+        let swap = self
+            .ports
+            .platform
+            .compare_and_swap(key, &value, revision, None);
         match swap.await {
             Ok(CasVerdict::Written(_)) => Ok(verdicts),
             Ok(CasVerdict::Conflict(_)) => Err(SwapSetback::Conflict),
@@ -146,7 +148,7 @@
 
     async fn read_slot(&self, key: &str) -> Result<ReadSlot, SwapSetback> {
         self.tables.metrics.platform_calls.inc();
-        let stored = self.platform.get(key).await;
+        let stored = self.ports.platform.get(key).await;
         match stored.map_err(|fault| self.platform_fault(fault))? {
             None => Ok(ReadSlot {
                 slot: ClaimSlot::new(),
@@ -210,19 +212,19 @@
 
     async fn sweep_claims(&self) {
         self.tables.metrics.platform_calls.inc();
-        let Ok(keys) = self.platform.list(CLAIM_PREFIX, SWEEP_SLOTS).await else {
+        let Ok(keys) = self.ports.platform.list(CLAIM_PREFIX, SWEEP_SLOTS).await else {
             self.tables.metrics.platform_faults.inc();
             return;
         };
         let window = self.tables.settings.limits.claim_window_ms;
-        let now = unix_millis();
+        let now = self.tables.identity.unix_millis();
         let is_expired = |key: &StoredKey| {
             slot_minute(&key.key).is_some_and(|minute| is_slot_expired(minute, now, window))
         };
         for key in keys.into_iter().filter(is_expired) {
             self.tables.metrics.platform_calls.inc();
             // Another domain's sweeper may have been faster.
-            let _ = self.platform.delete(&key.key, key.revision).await;
+            let _ = self.ports.platform.delete(&key.key, key.revision).await;
         }
     }
 }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -2,12 +2,10 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use caller::{AnswerPart, AnswerStream, CompletionKind};
-use engine::{
-    EngineClient, EngineFrame, FrameStream, HttpEngines, MemoryOrder, OpenFault, StreamOrder,
-};
+use engine::{EngineClient, EngineFrame, FrameStream, MemoryOrder, OpenFault, StreamOrder};
 use futures::StreamExt;
 use futures::stream::unfold;
 use ntex::util::Bytes;
@@ -20,7 +18,7 @@
 use policy::prefix::{BYTES_PER_TOKEN, PromptPrefix};
 use policy::retry::RetryVerdict;
 use policy::template::ModelRule;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 use crate::control::ControlHandle;
 use crate::grants::{GrantDesk, HeldGrant};
@@ -32,7 +30,7 @@
     pub(crate) tables: Arc<EntryTables>,
     pub(crate) control: ControlHandle,
     pub(crate) grants: GrantDesk,
-    pub(crate) engines: Rc<HttpEngines>,
+    pub(crate) engines: Rc<dyn EngineClient>,
 }
 
 /// A completion that was admitted.
@@ -139,7 +137,7 @@
     /// Carries out a step within the deadline. Gives no event where a stream has been opened.
     async fn carry_out(&mut self, step: FlowStep) -> Option<FlowEvent> {
         let deadline = self.completion.deadline;
-        match timeout_at(deadline.into(), self.carry_out_step(step)).await {
+        match timeout_at(deadline, self.carry_out_step(step)).await {
             Ok(event) => event,
             Err(_) => Some(FlowEvent::DeadlineReached),
         }
@@ -337,7 +335,7 @@
         };
         let silent_at = Instant::now() + Duration::from_millis(stream.silence);
         let bound = silent_at.min(deadline);
-        match timeout_at(bound.into(), stream.frames.next()).await {
+        match timeout_at(bound, stream.frames.next()).await {
             Ok(Some(Ok(frame))) => Ok(frame),
             Ok(Some(Err(_)) | None) => Err(FlowEvent::StreamClosed),
             Err(_) if Instant::now() >= deadline => Err(FlowEvent::DeadlineReached),
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use futures::future::join_all;
-use platform::{KeyValue, StoredValue, WatchEvent};
+use platform::{StoredValue, WatchEvent};
 use policy::ids::{Incarnation, InstanceId, Millis, PoolId};
 use policy::leaving::TableChange;
 use policy::steward::steward_of;
@@ -119,7 +119,10 @@
     /// Waits for changes after `revision` and passes them on; gives the revision to go on from.
     async fn read_changes(self: &Rc<Self>, revision: u64) -> Option<u64> {
         self.tables.metrics.platform_calls.inc();
-        let watch = self.platform.watch(CONFIG_PREFIX, revision, WATCH_WAIT);
+        let watch = self
+            .ports
+            .platform
+            .watch(CONFIG_PREFIX, revision, WATCH_WAIT);
         let Ok(report) = watch.await else {
             self.tables.metrics.platform_faults.inc();
             return None;
@@ -148,7 +151,7 @@
         let others = self.tables.other_addresses();
         let pushes = others.iter().map(|(_, address)| {
             self.tables.metrics.peer_messages.inc();
-            self.links.apply(address, documents)
+            self.ports.peers.apply(address, documents)
         });
         // An instance that misses a push sees another digest at the next probe.
         join_all(pushes).await;
@@ -157,7 +160,7 @@
     /// Fetches the documents that the instance at `address` has and this one may not have.
     pub(crate) async fn fetch_documents(&self, address: &str) -> FetchVerdict {
         self.tables.metrics.peer_messages.inc();
-        let Ok(batch) = self.links.documents(address, 0).await else {
+        let Ok(batch) = self.ports.peers.documents(address, 0).await else {
             return FetchVerdict::NoAnswer;
         };
         self.apply_documents(&batch.documents);
@@ -207,6 +210,17 @@
         }
     }
 
+    /// Joins the failure domain, confirms the configuration and then keeps it up to date.
+    pub(crate) async fn run_configuration(self: Rc<Self>) {
+        // Others must know this instance before it asks them for the configuration, so that no
+        // change is accepted without it.
+        self.join().await;
+        self.clone().confirm_configuration().await;
+        self.spawn(self.clone().run_config_reader());
+        self.spawn(self.clone().run_list_reader());
+        self.spawn(self.clone().run_claim_sweeper());
+    }
+
     /// Keeps what the platform's list says of leaving instances and of new incarnations.
     pub(crate) async fn run_list_reader(self: Rc<Self>) {
         loop {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -3,48 +3,34 @@
 use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
-use engine::HttpEngines;
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
-use peer::PeerLinks;
-use platform::HttpPlatform;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::claims::ClaimDesk;
+use crate::ports::ControlPorts;
 use crate::tables::EntryTables;
 
-/// Longest wait for the answer of another entry instance.
-const PEER_ANSWER: Duration = Duration::from_millis(500);
-
 /// What the tasks of the control thread share.
 pub(crate) struct Control {
     pub(crate) tables: Arc<EntryTables>,
-    pub(crate) links: PeerLinks,
-    pub(crate) platform: HttpPlatform,
-    pub(crate) engines: HttpEngines,
+    pub(crate) ports: ControlPorts,
     pub(crate) claims: ClaimDesk,
 }
 
 impl Control {
-    pub(crate) async fn new(tables: Arc<EntryTables>) -> Self {
-        let settings = &tables.settings;
-        let connect = Duration::from_millis(settings.limits.connect_ms);
-        let silence = Duration::from_millis(settings.limits.silence_ms);
-        let address = &settings.platform;
+    pub(crate) fn new(tables: Arc<EntryTables>, ports: ControlPorts) -> Self {
         Self {
-            links: PeerLinks::new(PEER_ANSWER),
-            platform: HttpPlatform::new(address.key_value, address.instances).await,
-            engines: HttpEngines::new(connect, silence).await,
             claims: ClaimDesk::new(),
+            ports,
             tables,
         }
     }
 
     /// Runs a task of the control thread beside the caller.
-    pub(crate) fn spawn(task: impl Future<Output = ()> + 'static) {
-        tokio::task::spawn_local(task);
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.ports.spawner.spawn(Box::pin(task));
     }
 }
 
@@ -84,6 +70,7 @@
             async move {
                 let work = task(control);
                 tokio::select! {
+                    biased;
                     value = work => {
                         // The asker may have gone in the meantime.
                         let _ = reply.send(value);
@@ -113,7 +100,8 @@
     /// Runs what other threads hand over.
     pub(crate) async fn run(mut self, control: Rc<Control>) {
         while let Some(task) = self.receiver.recv().await {
-            Control::spawn(task(control.clone()));
+            let work = task(control.clone());
+            control.spawn(work);
         }
     }
 }
--- a/crates/entry/src/domain_rollout.rs
+++ b/crates/entry/src/domain_rollout.rs
@@ -5,14 +5,12 @@
 
 use futures::future::join_all;
 use operator::{ChangeReport, ChangeRequest, HistoryRow, OperatorFault};
-use platform::{CasVerdict, InstanceKind, KeyValue, StoredValue};
+use platform::{CasVerdict, InstanceKind, StoredValue};
 use policy::ids::{DomainId, InstanceId, Millis};
 use policy::member::{MemberStatus, MemberUpdate};
 use policy::rollout::{DomainReport, RolloutVerdict, weigh_rollout};
 use policy::template::ConfigDocument;
-use uuid::Uuid;
 
-use crate::clock::unix_millis;
 use crate::configuration::{StoredDocument, read_document};
 use crate::control::Control;
 
@@ -43,7 +41,7 @@
         {
             return Err(OperatorFault::Conflict(revision));
         }
-        let change = Uuid::now_v7().to_string();
+        let change = format!("{:032x}", self.tables.identity.unique_id());
         let earlier = present
             .and_then(|stored| serde_json::from_str::<StoredDocument>(&stored.value).ok())
             .map(StoredDocument::into_earlier)
@@ -51,7 +49,7 @@
         let stored = StoredDocument {
             change: change.clone(),
             author: request.author,
-            written_ms: unix_millis(),
+            written_ms: self.tables.identity.unix_millis(),
             body: request.body.clone(),
             earlier,
         };
@@ -72,7 +70,7 @@
 
     async fn read_key(&self, key: &str) -> Result<Option<StoredValue>, OperatorFault> {
         self.tables.metrics.platform_calls.inc();
-        self.platform.get(key).await.map_err(|_| {
+        self.ports.platform.get(key).await.map_err(|_| {
             self.tables.metrics.platform_faults.inc();
             OperatorFault::PlatformDown
         })
@@ -84,7 +82,10 @@
             return WriteVerdict::Unsettled;
         };
         self.tables.metrics.platform_calls.inc();
-        let swap = self.platform.compare_and_swap(key, &value, expected, None);
+        let swap = self
+            .ports
+            .platform
+            .compare_and_swap(key, &value, expected, None);
         match swap.await {
             Ok(CasVerdict::Written(version)) => return WriteVerdict::Written(version),
             Ok(CasVerdict::Conflict(version)) => return WriteVerdict::Conflict(version),
@@ -140,7 +141,7 @@
     ) -> DomainReport {
         for address in addresses {
             self.tables.metrics.peer_messages.inc();
-            if let Ok(report) = self.links.rollout(address, version, documents).await {
+            if let Ok(report) = self.ports.peers.rollout(address, version, documents).await {
                 return report;
             }
         }
@@ -193,7 +194,7 @@
     ) -> Vec<(InstanceId, Option<(u64, Vec<MemberUpdate>)>)> {
         let calls = targets.iter().map(|(instance, address)| {
             self.tables.metrics.peer_messages.inc();
-            let call = self.links.apply(address, documents);
+            let call = self.ports.peers.apply(address, documents);
             async move {
                 let answer = call.await.ok();
                 let answer = answer.map(|report| (report.version, report.members));
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -3,13 +3,12 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use caller::{
     AnswerPart, AnswerStream, CallAnswer, CallRequest, CallerGateway, CompletionRequest, KeyDigest,
     Readiness,
 };
-use engine::HttpEngines;
 use futures::future::LocalBoxFuture;
 use futures::stream::once;
 use futures::{FutureExt, StreamExt};
@@ -17,13 +16,13 @@
 use policy::outcome::{Refusal, RefusalReason, RequestOutcome};
 use policy::poison::{Fingerprint, PoisonVerdict};
 use policy::template::{AccountTemplate, ConfigBook, ModelRule};
-use service::HttpServices;
-use uuid::Uuid;
+use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::completion::{AdmittedCompletion, CompletionDesk, serve_completion};
 use crate::control::ControlHandle;
 use crate::grants::GrantDesk;
+use crate::ports::WorkerPorts;
 use crate::service_calls::{AdmittedCall, CallDesk};
 use crate::tables::EntryTables;
 
@@ -38,22 +37,23 @@
 }
 
 impl WorkerGateway {
-    pub(crate) async fn new(tables: Arc<EntryTables>, control: ControlHandle) -> Self {
-        let limits = &tables.settings.limits;
-        let connect = Duration::from_millis(limits.connect_ms);
-        let head = Duration::from_millis(limits.silence_ms);
+    pub(crate) fn new(
+        tables: Arc<EntryTables>,
+        control: ControlHandle,
+        ports: WorkerPorts,
+    ) -> Self {
         let grants = GrantDesk::new(tables.clone(), control.clone());
         Self {
             completions: CompletionDesk {
                 tables: tables.clone(),
                 control: control.clone(),
                 grants,
-                engines: Rc::new(HttpEngines::new(connect, head).await),
+                engines: ports.engines,
             },
             calls: CallDesk {
                 tables: tables.clone(),
                 control,
-                services: Rc::new(HttpServices::new(connect).await),
+                services: ports.services,
                 rotation: Rc::new(AtomicUsize::new(0)),
             },
             tables,
@@ -100,7 +100,7 @@
             return Err(RefusalReason::Quarantined);
         }
         Ok(AdmittedCompletion {
-            request: RequestId(Uuid::now_v7().as_u128()),
+            request: RequestId(self.tables.identity.unique_id()),
             fingerprint,
             account,
             weight: template.weight,
--- a/crates/entry/src/grants.rs
+++ b/crates/entry/src/grants.rs
@@ -67,7 +67,7 @@
         self.control
             .run(async move |control| {
                 control.tables.metrics.peer_messages.inc();
-                control.links.ask(&address, &pool, &ask).await.ok()
+                control.ports.peers.ask(&address, &pool, &ask).await.ok()
             })
             .await?
     }
@@ -93,7 +93,7 @@
                 self.control.post(async move |control| {
                     control.tables.metrics.peer_messages.inc();
                     // A release that is lost is made good by the engine's own list.
-                    let _ = control.links.release(&address, &pool, id).await;
+                    let _ = control.ports.peers.release(&address, &pool, id).await;
                 });
             }
         }
@@ -114,7 +114,7 @@
         let (pool, endpoint) = (pool.clone(), endpoint.clone());
         self.control.post(async move |control| {
             control.tables.metrics.peer_messages.inc();
-            let _ = control.links.failed(&address, &pool, &endpoint).await;
+            let _ = control.ports.peers.failed(&address, &pool, &endpoint).await;
         });
     }
 }
--- /dev/null
+++ b/crates/entry/src/identity.rs
@@ -0,0 +1,32 @@
+//! The machine's wall clock and random unique ids.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use uuid::Uuid;
+
+use crate::ports::IdentitySource;
+
+/// Reads the machine's clock and makes version 7 UUIDs.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SystemIdentity;
+
+impl SystemIdentity {
+    /// The machine's clock and random numbers.
+    #[must_use]
+    pub fn new() -> Self {
+        Self
+    }
+}
+
+impl IdentitySource for SystemIdentity {
+    fn unix_millis(&self) -> u64 {
+        let elapsed = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn unique_id(&self) -> u128 {
+        Uuid::now_v7().as_u128()
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,20 +5,27 @@
 
 mod announcements;
 mod claims;
-mod clock;
 mod completion;
 mod configuration;
 mod control;
+mod core;
 mod domain_rollout;
 mod gateway;
 mod grants;
+mod identity;
 mod lifecycle;
 mod membership;
 mod operators;
 mod peer_answers;
+mod ports;
 mod service_calls;
 mod start;
 mod stewardship;
 mod tables;
 
+pub use crate::core::{EntryCore, GatewayFactory};
+pub use identity::SystemIdentity;
+pub use ports::{
+    ControlFuture, ControlPorts, IdentitySource, SharedIdentity, TaskSpawner, WorkerPorts,
+};
 pub use start::{RunningEntry, StartFault, start_entry};
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -43,7 +43,7 @@
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
-        () = entry.emptied() => {}
+        () = entry.stop_announced() => {}
     }
     spdlog::info!("instance {instance} stops");
     entry.stop().await;
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -4,12 +4,11 @@
 
 use futures::future::join_all;
 use peer::{PeerDigest, ProbeMessage, RelayVerdict};
-use platform::{InstanceKind, KeyValue, ListedInstance};
+use platform::{InstanceKind, ListedInstance};
 use policy::ids::{Incarnation, Millis};
 use policy::member::{MemberAction, MemberStatus, SelfVerdict};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::clock::unix_millis;
 use crate::control::Control;
 use crate::tables::{LifePhase, PAUSE_LIMIT};
 
@@ -30,7 +29,7 @@
             let now = self.tables.now();
             let actions = self.tables.members.lock().tick(now);
             for action in actions {
-                Self::spawn(self.clone().carry_out(action));
+                self.spawn(self.clone().carry_out(action));
             }
             self.after_member_changes();
         }
@@ -50,14 +49,14 @@
         self.tables.tick();
         if pause >= PAUSE_LIMIT {
             spdlog::info!("paused for {pause} ms; confirming the configuration");
-            Self::spawn(self.clone().confirm_configuration());
+            self.spawn(self.clone().confirm_configuration());
         }
     }
 
     fn rejoin(&self) {
         self.tables.metrics.rejoins.inc();
         let mut members = self.tables.members.lock();
-        members.rejoin(Incarnation(unix_millis()));
+        members.rejoin(Incarnation(self.tables.identity.unix_millis()));
     }
 
     /// Acts on what the member table learned since it was last asked.
@@ -69,7 +68,7 @@
         if verdict == SelfVerdict::Rejoin {
             self.rejoin();
             self.tables.set_confirmed(false);
-            Self::spawn(self.clone().confirm_configuration());
+            self.spawn(self.clone().confirm_configuration());
         }
         if events.is_empty() {
             return;
@@ -96,7 +95,7 @@
                 .map(|update| update.address.clone())
         };
         if let Some(address) = address {
-            self.links.close(&address);
+            self.ports.peers.close(&address);
         }
     }
 
@@ -120,7 +119,11 @@
                 ..
             } => {
                 self.tables.metrics.peer_messages.inc();
-                let answer = self.links.relay(&relay_address, &target_address).await;
+                let answer = self
+                    .ports
+                    .peers
+                    .relay(&relay_address, &target_address)
+                    .await;
                 if answer == Ok(RelayVerdict::Answered) {
                     self.tables.members.lock().probe_answered(sequence);
                 }
@@ -144,7 +147,7 @@
         message: ProbeMessage,
     ) -> RelayVerdict {
         self.tables.metrics.peer_messages.inc();
-        let Ok(answer) = self.links.probe(address, &message).await else {
+        let Ok(answer) = self.ports.peers.probe(address, &message).await else {
             return RelayVerdict::Silent;
         };
         let now = self.tables.now();
@@ -183,7 +186,7 @@
         }
         let control = self.clone();
         let address = address.to_owned();
-        Self::spawn(async move {
+        self.spawn(async move {
             if ours.config_version != theirs.config_version {
                 control.fetch_documents(&address).await;
             }
@@ -230,7 +233,7 @@
     /// The platform's list of this failure domain; empty where it cannot be read.
     pub(crate) async fn domain_rows(&self) -> Vec<ListedInstance> {
         self.tables.metrics.platform_calls.inc();
-        let Ok(rows) = self.platform.instances().await else {
+        let Ok(rows) = self.ports.platform.instances().await else {
             self.tables.metrics.platform_faults.inc();
             return Vec::new();
         };
--- a/crates/entry/src/service_calls.rs
+++ b/crates/entry/src/service_calls.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Instant;
 
 use caller::{CallAnswer, CallRequest};
 use policy::call::{CallEvent, CallFlow, CallStep};
@@ -15,10 +14,9 @@
 use policy::leaving::WorkVerdict;
 use policy::outcome::{Refusal, RefusalReason, RequestOutcome};
 use policy::template::Repeatability;
-use service::{CallFault, HttpServices, ServiceAnswer, ServiceClient};
-use uuid::Uuid;
+use service::{CallFault, ServiceAnswer, ServiceClient};
+use tokio::time::Instant;
 
-use crate::clock::unix_millis;
 use crate::completion::BudgetGate;
 use crate::control::ControlHandle;
 use crate::tables::EntryTables;
@@ -28,7 +26,7 @@
 pub(crate) struct CallDesk {
     pub(crate) tables: Arc<EntryTables>,
     pub(crate) control: ControlHandle,
-    pub(crate) services: Rc<HttpServices>,
+    pub(crate) services: Rc<dyn ServiceClient>,
     pub(crate) rotation: Rc<AtomicUsize>,
 }
 
@@ -87,14 +85,18 @@
         };
         let key = IdempotencyKey::new(text).map_err(refusal)?;
         let window = self.tables.settings.limits.claim_window_ms;
-        key.check_age(unix_millis(), window).map_err(refusal)?;
+        key.check_age(self.tables.identity.unix_millis(), window)
+            .map_err(refusal)?;
         Ok(Some(key.place(&admitted.account)))
     }
 
     async fn drive(&self, admitted: &AdmittedCall, place: Option<ClaimPlace>) -> CallAnswer {
         let endpoints = self.endpoints(&admitted.request.service);
         let mut flow = CallFlow::new(admitted.calls, endpoints);
-        let claim = HeldClaim::new(place);
+        let claim = HeldClaim {
+            place,
+            id: format!("{:032x}", self.tables.identity.unique_id()),
+        };
         let mut step = flow.start();
         loop {
             let event = match step {
@@ -231,15 +233,6 @@
     id: String,
 }
 
-impl HeldClaim {
-    fn new(place: Option<ClaimPlace>) -> Self {
-        Self {
-            place,
-            id: Uuid::now_v7().simple().to_string(),
-        }
-    }
-}
-
 fn kept_result(answer: &ServiceAnswer) -> ClaimState {
     let Ok(body) = std::str::from_utf8(&answer.body) else {
         return ClaimState::DoneNotKept;
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -3,23 +3,23 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use caller::CallerLimits;
+use engine::HttpEngines;
 use ntex::SharedCfg;
 use ntex::http::{HttpServiceConfig, KeepAlive};
 use ntex::server::Server;
 use ntex::time::Seconds;
 use ntex::web::{App, HttpServer};
-use operator::OperatorGateway;
-use settings::EntrySettings;
-use timer::TimerService;
+use peer::PeerLinks;
+use platform::HttpPlatform;
+use service::HttpServices;
+use settings::{EntrySettings, LimitSettings};
 
-use crate::control::{Control, ControlHandle, control_channel};
-use crate::gateway::WorkerGateway;
-use crate::lifecycle::drain_instance;
-use crate::operators::OperatorDesk;
-use crate::peer_answers::PeerAnswers;
-use crate::tables::EntryTables;
+use crate::core::{EntryCore, GatewayFactory};
+use crate::identity::SystemIdentity;
+use crate::ports::{ControlFuture, ControlPorts, TaskSpawner, WorkerPorts};
 
 /// Why an instance could not be started.
 #[derive(Debug)]
@@ -42,7 +42,7 @@
 
 /// A running entry instance.
 pub struct RunningEntry {
-    control: Rc<Control>,
+    core: EntryCore,
     servers: Vec<Server>,
 }
 
@@ -52,6 +52,9 @@
 /// How long an idle connection of a caller is kept, in seconds.
 const CALLER_KEEP_ALIVE: Seconds = Seconds(75);
 
+/// Longest wait for the answer of another entry instance.
+const PEER_ANSWER: Duration = Duration::from_millis(500);
+
 /// Starts an entry instance. Its control tasks run on the calling thread, which must run an ntex
 /// system; its workers have threads of their own.
 ///
@@ -61,65 +64,76 @@
 pub async fn start_entry(settings: EntrySettings) -> Result<RunningEntry, StartFault> {
     let callers = bind(settings.listen.callers)?;
     let operators = bind(settings.listen.operators)?;
-    let peers = bind(settings.listen.peers)?;
-    let timer = TimerService::new();
-    let tables = Arc::new(EntryTables::new(settings, timer));
-    let (handle, inbox) = control_channel();
-    let control = Rc::new(Control::new(tables.clone()).await);
-    Control::spawn(inbox.run(control.clone()));
-    start_control(&control, peers)?;
+    let peers = bind_async(settings.listen.peers)?;
+    let ports = control_ports(&settings).await;
+    let core = EntryCore::new(settings.clone(), ports, Arc::new(SystemIdentity::new()));
+    tokio::task::spawn_local(peer::serve_peers(peers, core.peer_handler()));
+    core.start();
     let servers = vec![
-        serve_callers(callers, &tables, &handle)?,
-        serve_operators(operators, &tables, &handle)?,
+        serve_callers(callers, &settings, core.gateways())?,
+        serve_operators(operators, &settings, core.gateways())?,
     ];
-    Ok(RunningEntry { control, servers })
+    Ok(RunningEntry { core, servers })
 }
 
 fn bind(address: SocketAddr) -> Result<TcpListener, StartFault> {
     TcpListener::bind(address).map_err(|error| StartFault { address, error })
 }
 
-fn start_control(control: &Rc<Control>, peers: TcpListener) -> Result<(), StartFault> {
-    let address = control.tables.settings.listen.peers;
+fn bind_async(address: SocketAddr) -> Result<tokio::net::TcpListener, StartFault> {
     let fault = |error| StartFault { address, error };
-    peers.set_nonblocking(true).map_err(fault)?;
-    let listener = tokio::net::TcpListener::from_std(peers).map_err(fault)?;
-    let timer = control.tables.timer.clone();
-    Control::spawn(async move { timer.run().await });
-    let answers = Rc::new(PeerAnswers::new(control.clone()));
-    Control::spawn(peer::serve_peers(listener, answers));
-    control.update_stewardship();
-    Control::spawn(control.clone().run_membership());
-    Control::spawn(control.clone().run_queues());
-    Control::spawn(control.clone().run_listings());
-    let joining = control.clone();
-    Control::spawn(async move {
-        // Others must know this instance before it asks them for the configuration, so that no
-        // change is accepted without it.
-        joining.join().await;
-        joining.clone().confirm_configuration().await;
-        Control::spawn(joining.clone().run_config_reader());
-        Control::spawn(joining.clone().run_list_reader());
-        Control::spawn(joining.run_claim_sweeper());
-    });
-    Ok(())
+    let listener = bind(address)?;
+    listener.set_nonblocking(true).map_err(fault)?;
+    tokio::net::TcpListener::from_std(listener).map_err(fault)
+}
+
+/// Runs the control tasks on the thread that starts them.
+struct LocalSpawner;
+
+impl TaskSpawner for LocalSpawner {
+    fn spawn(&self, task: ControlFuture) {
+        tokio::task::spawn_local(task);
+    }
+}
+
+async fn control_ports(settings: &EntrySettings) -> ControlPorts {
+    let address = &settings.platform;
+    ControlPorts {
+        platform: Rc::new(HttpPlatform::new(address.key_value, address.instances).await),
+        engines: Rc::new(http_engines(&settings.limits).await),
+        peers: Rc::new(PeerLinks::new(PEER_ANSWER)),
+        spawner: Rc::new(LocalSpawner),
+    }
+}
+
+async fn worker_ports(limits: &LimitSettings) -> WorkerPorts {
+    let connect = Duration::from_millis(limits.connect_ms);
+    WorkerPorts {
+        engines: Rc::new(http_engines(limits).await),
+        services: Rc::new(HttpServices::new(connect).await),
+    }
+}
+
+async fn http_engines(limits: &LimitSettings) -> HttpEngines {
+    let connect = Duration::from_millis(limits.connect_ms);
+    let head = Duration::from_millis(limits.silence_ms);
+    HttpEngines::new(connect, head).await
 }
 
 fn serve_callers(
     listener: TcpListener,
-    tables: &Arc<EntryTables>,
-    handle: &ControlHandle,
+    settings: &EntrySettings,
+    gateways: GatewayFactory,
 ) -> Result<Server, StartFault> {
-    let settings = &tables.settings;
     let address = settings.listen.callers;
     let workers = settings.workers;
     let limits = CallerLimits {
         body_bytes: settings.limits.body_bytes,
         body_ms: settings.limits.body_ms,
     };
-    let (tables, handle) = (tables.clone(), handle.clone());
+    let times = settings.limits.clone();
     let server = HttpServer::new(async move || {
-        let gateway = Rc::new(WorkerGateway::new(tables.clone(), handle.clone()).await);
+        let gateway = gateways.callers(worker_ports(&times).await);
         let limits = limits.clone();
         App::new().configure(move |config| caller::configure(config, gateway, limits))
     });
@@ -135,14 +149,12 @@
 
 fn serve_operators(
     listener: TcpListener,
-    tables: &Arc<EntryTables>,
-    handle: &ControlHandle,
+    settings: &EntrySettings,
+    gateways: GatewayFactory,
 ) -> Result<Server, StartFault> {
-    let address = tables.settings.listen.operators;
-    let (tables, handle) = (tables.clone(), handle.clone());
+    let address = settings.listen.operators;
     let server = HttpServer::new(async move || {
-        let desk = OperatorDesk::new(tables.clone(), handle.clone());
-        let gateway: Rc<dyn OperatorGateway> = Rc::new(desk);
+        let gateway = gateways.operators();
         App::new().configure(move |config| operator::configure(config, gateway))
     });
     let server = server
@@ -163,21 +175,21 @@
 impl RunningEntry {
     /// Stops the instance gracefully: every request that was admitted is brought to its end.
     pub async fn stop(self) {
-        drain_instance(self.control.tables.clone()).await;
+        self.core.drain().await;
         for server in &self.servers {
             server.stop(true).await;
         }
-        self.control.say_goodbye().await;
+        self.core.say_goodbye().await;
     }
 
-    /// Resolves when an operator's announcement has emptied the instance and it is to end.
-    pub async fn emptied(&self) {
-        self.control.wait_until_stopped().await;
+    /// Resolves when an operator has announced that this instance stops.
+    pub async fn stop_announced(&self) {
+        self.core.stop_announced().await;
     }
 
     /// Whether the balancer should send requests here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.control.tables.is_ready()
+        self.core.is_ready()
     }
 }
--- a/crates/entry/src/stewardship.rs
+++ b/crates/entry/src/stewardship.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use engine::EngineClient;
 use futures::future::join_all;
 use policy::ids::{AttemptId, EndpointId, Millis, PoolId};
 use policy::pool::Reconciliation;
@@ -49,7 +48,7 @@
         for pool in taken {
             spdlog::info!("steward of pool {pool}");
             let control = self.clone();
-            Self::spawn(async move { control.list_pool(&pool).await });
+            self.spawn(async move { control.list_pool(&pool).await });
         }
     }
 
@@ -114,7 +113,7 @@
         let Some(desk) = self.tables.pools.get(pool) else {
             return;
         };
-        let Ok(listing) = self.engines.listing(address).await else {
+        let Ok(listing) = self.ports.engines.listing(address).await else {
             desk.lock().table.endpoint_unreachable(&endpoint);
             return;
         };
@@ -129,12 +128,18 @@
 
     async fn release_orphans(&self, address: SocketAddr, result: &Reconciliation) {
         for attempt in &result.cancel {
-            if self.engines.cancel(address, *attempt).await.is_ok() {
+            if self.ports.engines.cancel(address, *attempt).await.is_ok() {
                 self.tables.metrics.orphan_streams.inc();
             }
         }
         for attempt in &result.release {
-            if self.engines.release_memory(address, *attempt).await.is_ok() {
+            if self
+                .ports
+                .engines
+                .release_memory(address, *attempt)
+                .await
+                .is_ok()
+            {
                 self.tables.metrics.orphan_memory.inc();
             }
         }
@@ -151,8 +156,8 @@
         let (mut pause, longest) = CANCEL_PAUSES;
         while self.tables.now() < end {
             let answer = match hold {
-                EngineHold::Stream => self.engines.cancel(address, attempt).await,
-                EngineHold::Memory => self.engines.release_memory(address, attempt).await,
+                EngineHold::Stream => self.ports.engines.cancel(address, attempt).await,
+                EngineHold::Memory => self.ports.engines.release_memory(address, attempt).await,
             };
             if answer.is_ok() {
                 return;
--- a/crates/entry/src/tables.rs
+++ b/crates/entry/src/tables.rs
@@ -23,7 +23,7 @@
 use timer::TimerService;
 use tokio::sync::oneshot;
 
-use crate::clock::unix_millis;
+use crate::ports::SharedIdentity;
 
 /// A control thread that has not moved for this long, in milliseconds, may have been paused with
 /// the whole process: nothing is admitted until it has confirmed the configuration.
@@ -80,6 +80,7 @@
 pub(crate) struct EntryTables {
     pub(crate) settings: EntrySettings,
     pub(crate) timer: TimerService,
+    pub(crate) identity: SharedIdentity,
     pub(crate) metrics: EntryMetrics,
     pub(crate) members: Mutex<MemberTable>,
     pub(crate) leaving: Mutex<LeavingTable>,
@@ -96,8 +97,12 @@
 }
 
 impl EntryTables {
-    pub(crate) fn new(settings: EntrySettings, timer: TimerService) -> Self {
-        let incarnation = Incarnation(unix_millis());
+    pub(crate) fn new(
+        settings: EntrySettings,
+        timer: TimerService,
+        identity: SharedIdentity,
+    ) -> Self {
+        let incarnation = Incarnation(identity.unix_millis());
         let me = OwnerId::new(InstanceId::new(&settings.instance), incarnation);
         let address = settings.listen.peers.to_string();
         let members = MemberTable::new(me, &address, MemberLimits::default(), incarnation.0);
@@ -114,7 +119,7 @@
         });
         let pools = settings.pools.iter().map(|pool| {
             let desk = PoolDesk {
-                table: new_pool_table(&settings, pool),
+                table: new_pool_table(&settings, pool, incarnation.0),
                 tickets: HashMap::new(),
                 acting_until: 0,
                 role: StewardRole::Other,
@@ -139,6 +144,7 @@
             last_tick: AtomicU64::new(0),
             settings,
             timer,
+            identity,
         }
     }
 
@@ -276,19 +282,19 @@
         let Some(found) = settings.pools.iter().find(|one| one.name == pool.as_str()) else {
             return;
         };
-        desk.table = new_pool_table(settings, found);
+        desk.table = new_pool_table(settings, found, self.identity.unix_millis());
         desk.tickets.clear();
     }
 }
 
 /// A pool's table before any of its engines has been listed.
-fn new_pool_table(settings: &EntrySettings, pool: &PoolSettings) -> PoolTable {
+fn new_pool_table(settings: &EntrySettings, pool: &PoolSettings, born: u64) -> PoolTable {
     let limits = PoolLimits {
         long_tokens: settings.limits.long_tokens,
         ..PoolLimits::default()
     };
     // Ids of an earlier table must not be mistaken for this one's.
-    let first_id = unix_millis() << ID_BITS;
+    let first_id = born << ID_BITS;
     let table = PoolTable::new(limits, first_id);
     pool.engines.iter().fold(table, |table, engine| {
         table.with_unlisted(EndpointSpec {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -3,10 +3,12 @@
 mod handler;
 mod link;
 mod message;
+mod port;
 mod server;
 
 pub use handler::{
     ApplyReport, DocumentBatch, PeerDigest, PeerFuture, PeerHandler, ProbeMessage, RelayVerdict,
 };
-pub use link::{PeerFault, PeerLinks};
+pub use link::PeerLinks;
+pub use port::{PeerAnswer, PeerFault, PeerPort};
 pub use server::serve_peers;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -8,7 +8,7 @@
 use capnp::Error;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
-use futures::AsyncReadExt;
+use futures::{AsyncReadExt, FutureExt};
 use peer_schema::peer_capnp::peer;
 use policy::ids::{EndpointId, PoolId};
 use policy::leaving::Announcement;
@@ -26,15 +26,7 @@
     from_json, list_length, read_decision, read_digest, read_updates, to_json, write_ask,
     write_digest, write_updates,
 };
-
-/// Why a message has no answer.
-#[derives::tag]
-pub enum PeerFault {
-    /// No connection could be made.
-    Unreachable,
-    /// No answer came in time, or the connection broke; the message may have been acted on.
-    AnswerLost,
-}
+use crate::port::{PeerAnswer, PeerFault, PeerPort};
 
 struct OpenLink {
     client: peer::Client,
@@ -75,11 +67,6 @@
         }
     }
 
-    /// Closes the connection to an instance; messages that wait on it fail.
-    pub fn close(&self, address: &str) {
-        self.open.borrow_mut().remove(address);
-    }
-
     async fn client(&self, address: &str) -> Result<peer::Client, PeerFault> {
         if let Some(link) = self.open.borrow().get(address)
             && !link.task.is_finished()
@@ -116,235 +103,218 @@
         self.close(address);
         Err(PeerFault::AnswerLost)
     }
+}
 
-    /// Probes an instance and takes its changes of membership.
-    ///
-    /// # Errors
-    ///
-    /// When no answer came.
-    pub async fn probe(
-        &self,
-        address: &str,
-        message: &ProbeMessage,
-    ) -> Result<ProbeMessage, PeerFault> {
-        self.exchange(address, self.answer_time, async |client| {
-            let mut request = client.probe_request();
-            let mut form = request.get();
-            form.set_from(&message.from);
-            let length = list_length(message.updates.len())?;
-            write_updates(form.reborrow().init_updates(length), &message.updates);
-            write_digest(form.init_digest(), message.digest);
-            let answer = request.send().promise.await?;
-            let form = answer.get()?;
-            Ok(ProbeMessage {
-                from: address.to_owned(),
-                updates: read_updates(form.get_updates()?)?,
-                digest: read_digest(form.get_digest()?),
+impl PeerPort for PeerLinks {
+    fn close(&self, address: &str) {
+        self.open.borrow_mut().remove(address);
+    }
+
+    fn probe<'a>(
+        &'a self,
+        address: &'a str,
+        message: &'a ProbeMessage,
+    ) -> PeerAnswer<'a, ProbeMessage> {
+        async move {
+            self.exchange(address, self.answer_time, async |client| {
+                let mut request = client.probe_request();
+                let mut form = request.get();
+                form.set_from(&message.from);
+                let length = list_length(message.updates.len())?;
+                write_updates(form.reborrow().init_updates(length), &message.updates);
+                write_digest(form.init_digest(), message.digest);
+                let answer = request.send().promise.await?;
+                let form = answer.get()?;
+                Ok(ProbeMessage {
+                    from: address.to_owned(),
+                    updates: read_updates(form.get_updates()?)?,
+                    digest: read_digest(form.get_digest()?),
+                })
             })
-        })
-        .await
+            .await
+        }
+        .boxed_local()
     }
 
-    /// Has `relay` probe the instance at `address`.
-    ///
-    /// # Errors
-    ///
-    /// When the relay gave no answer.
-    pub async fn relay(&self, relay: &str, address: &str) -> Result<RelayVerdict, PeerFault> {
-        self.exchange(relay, self.answer_time * 2, async |client| {
-            let mut request = client.relay_request();
-            request.get().set_address(address);
-            let answer = request.send().promise.await?;
-            Ok(if answer.get()?.get_answered() {
-                RelayVerdict::Answered
-            } else {
-                RelayVerdict::Silent
+    fn relay<'a>(&'a self, relay: &'a str, address: &'a str) -> PeerAnswer<'a, RelayVerdict> {
+        async move {
+            self.exchange(relay, self.answer_time * 2, async |client| {
+                let mut request = client.relay_request();
+                request.get().set_address(address);
+                let answer = request.send().promise.await?;
+                Ok(if answer.get()?.get_answered() {
+                    RelayVerdict::Answered
+                } else {
+                    RelayVerdict::Silent
+                })
             })
-        })
-        .await
+            .await
+        }
+        .boxed_local()
     }
 
-    /// Asks a steward for a grant and waits until it is decided, at most the request's time.
-    ///
-    /// # Errors
-    ///
-    /// When no decision came; the grant may have been given and is then found by its owner's
-    /// streams missing from the engine's list.
-    pub async fn ask(
-        &self,
-        address: &str,
-        pool: &PoolId,
-        ask: &GrantAsk,
-    ) -> Result<GrantDecision, PeerFault> {
-        let client = self.client(address).await?;
-        let call = async {
-            let mut request = client.ask_request();
-            let mut form = request.get();
-            form.set_pool(pool.as_str());
-            write_ask(form.init_ask(), ask)?;
-            let answer = request.send().promise.await?;
-            read_decision(answer.get()?.get_decision()?, ask)
-        };
-        let time = Duration::from_millis(ask.time_left) + self.answer_time;
-        match timeout(time, call).await {
-            Ok(Ok(decision)) => Ok(decision),
-            Ok(Err(_)) | Err(_) => Err(PeerFault::AnswerLost),
+    fn ask<'a>(
+        &'a self,
+        address: &'a str,
+        pool: &'a PoolId,
+        ask: &'a GrantAsk,
+    ) -> PeerAnswer<'a, GrantDecision> {
+        async move {
+            let client = self.client(address).await?;
+            let call = async {
+                let mut request = client.ask_request();
+                let mut form = request.get();
+                form.set_pool(pool.as_str());
+                write_ask(form.init_ask(), ask)?;
+                let answer = request.send().promise.await?;
+                read_decision(answer.get()?.get_decision()?, ask)
+            };
+            let time = Duration::from_millis(ask.time_left) + self.answer_time;
+            match timeout(time, call).await {
+                Ok(Ok(decision)) => Ok(decision),
+                Ok(Err(_)) | Err(_) => Err(PeerFault::AnswerLost),
+            }
         }
+        .boxed_local()
     }
 
-    /// Returns a grant to its steward.
-    ///
-    /// # Errors
-    ///
-    /// When no answer came.
-    pub async fn release(
-        &self,
-        address: &str,
-        pool: &PoolId,
+    fn release<'a>(
+        &'a self,
+        address: &'a str,
+        pool: &'a PoolId,
         grant: GrantId,
-    ) -> Result<(), PeerFault> {
-        self.exchange(address, self.answer_time, async |client| {
-            let mut request = client.release_request();
-            request.get().set_pool(pool.as_str());
-            request.get().set_id(grant.0);
-            request.send().promise.await?;
-            Ok(())
-        })
-        .await
+    ) -> PeerAnswer<'a, ()> {
+        async move {
+            self.exchange(address, self.answer_time, async |client| {
+                let mut request = client.release_request();
+                request.get().set_pool(pool.as_str());
+                request.get().set_id(grant.0);
+                request.send().promise.await?;
+                Ok(())
+            })
+            .await
+        }
+        .boxed_local()
     }
 
-    /// Passes announcements on and takes those that the other knows.
-    ///
-    /// # Errors
-    ///
-    /// When no answer came.
-    pub async fn announce(
-        &self,
-        address: &str,
-        announcements: &[Announcement],
-    ) -> Result<Vec<Announcement>, PeerFault> {
-        self.exchange(address, self.answer_time, async |client| {
-            let mut request = client.announce_request();
-            request.get().set_announcements(to_json(&announcements)?);
-            let answer = request.send().promise.await?;
-            from_json(answer.get()?.get_announcements()?.to_str()?)
-        })
-        .await
+    fn announce<'a>(
+        &'a self,
+        address: &'a str,
+        announcements: &'a [Announcement],
+    ) -> PeerAnswer<'a, Vec<Announcement>> {
+        async move {
+            self.exchange(address, self.answer_time, async |client| {
+                let mut request = client.announce_request();
+                request.get().set_announcements(to_json(&announcements)?);
+                let answer = request.send().promise.await?;
+                from_json(answer.get()?.get_announcements()?.to_str()?)
+            })
+            .await
+        }
+        .boxed_local()
     }
 
-    /// Reads the configuration documents after a version.
-    ///
-    /// # Errors
-    ///
-    /// When no answer came.
-    pub async fn documents(&self, address: &str, since: u64) -> Result<DocumentBatch, PeerFault> {
-        self.exchange(address, self.answer_time, async |client| {
-            let mut request = client.documents_request();
-            request.get().set_since(since);
-            let answer = request.send().promise.await?;
-            let form = answer.get()?;
-            Ok(DocumentBatch {
-                version: form.get_version(),
-                documents: from_json(form.get_documents()?.to_str()?)?,
+    fn documents<'a>(&'a self, address: &'a str, since: u64) -> PeerAnswer<'a, DocumentBatch> {
+        async move {
+            self.exchange(address, self.answer_time, async |client| {
+                let mut request = client.documents_request();
+                request.get().set_since(since);
+                let answer = request.send().promise.await?;
+                let form = answer.get()?;
+                Ok(DocumentBatch {
+                    version: form.get_version(),
+                    documents: from_json(form.get_documents()?.to_str()?)?,
+                })
             })
-        })
-        .await
+            .await
+        }
+        .boxed_local()
     }
 
-    /// Has an instance put documents in force.
-    ///
-    /// # Errors
-    ///
-    /// When no confirmation came.
-    pub async fn apply(
-        &self,
-        address: &str,
-        documents: &[ConfigDocument],
-    ) -> Result<ApplyReport, PeerFault> {
-        self.exchange(address, self.answer_time, async |client| {
-            let mut request = client.apply_request();
-            request.get().set_documents(to_json(&documents)?);
-            let answer = request.send().promise.await?;
-            let form = answer.get()?;
-            Ok(ApplyReport {
-                version: form.get_version(),
-                members: read_updates(form.get_members()?)?,
+    fn apply<'a>(
+        &'a self,
+        address: &'a str,
+        documents: &'a [ConfigDocument],
+    ) -> PeerAnswer<'a, ApplyReport> {
+        async move {
+            self.exchange(address, self.answer_time, async |client| {
+                let mut request = client.apply_request();
+                request.get().set_documents(to_json(&documents)?);
+                let answer = request.send().promise.await?;
+                let form = answer.get()?;
+                Ok(ApplyReport {
+                    version: form.get_version(),
+                    members: read_updates(form.get_members()?)?,
+                })
             })
-        })
-        .await
+            .await
+        }
+        .boxed_local()
     }
 
-    /// Has an instance of another failure domain put documents in force in all of it.
-    ///
-    /// # Errors
-    ///
-    /// When no report came.
-    pub async fn rollout(
-        &self,
-        address: &str,
+    fn rollout<'a>(
+        &'a self,
+        address: &'a str,
         version: u64,
-        documents: &[ConfigDocument],
-    ) -> Result<DomainReport, PeerFault> {
-        self.exchange(address, self.answer_time * 3, async |client| {
-            let mut request = client.rollout_request();
-            request.get().set_version(version);
-            request.get().set_documents(to_json(&documents)?);
-            let answer = request.send().promise.await?;
-            from_json(answer.get()?.get_report()?.to_str()?)
-        })
-        .await
+        documents: &'a [ConfigDocument],
+    ) -> PeerAnswer<'a, DomainReport> {
+        async move {
+            self.exchange(address, self.answer_time * 3, async |client| {
+                let mut request = client.rollout_request();
+                request.get().set_version(version);
+                request.get().set_documents(to_json(&documents)?);
+                let answer = request.send().promise.await?;
+                from_json(answer.get()?.get_report()?.to_str()?)
+            })
+            .await
+        }
+        .boxed_local()
     }
 
-    /// Tells an instance of a crash.
-    ///
-    /// # Errors
-    ///
-    /// When no answer came.
-    pub async fn crashed(&self, address: &str, report: &CrashReport) -> Result<(), PeerFault> {
-        self.exchange(address, self.answer_time, async |client| {
-            let mut request = client.crashed_request();
-            let mut form = request.get().init_crash();
-            form.set_fingerprint(report.fingerprint.0);
-            form.set_endpoint(report.endpoint.as_str());
-            request.send().promise.await?;
-            Ok(())
-        })
-        .await
+    fn crashed<'a>(&'a self, address: &'a str, report: &'a CrashReport) -> PeerAnswer<'a, ()> {
+        async move {
+            self.exchange(address, self.answer_time, async |client| {
+                let mut request = client.crashed_request();
+                let mut form = request.get().init_crash();
+                form.set_fingerprint(report.fingerprint.0);
+                form.set_endpoint(report.endpoint.as_str());
+                request.send().promise.await?;
+                Ok(())
+            })
+            .await
+        }
+        .boxed_local()
     }
 
-    /// Tells a steward of an endpoint that failed.
-    ///
-    /// # Errors
-    ///
-    /// When no answer came.
-    pub async fn failed(
-        &self,
-        address: &str,
-        pool: &PoolId,
-        endpoint: &EndpointId,
-    ) -> Result<(), PeerFault> {
-        self.exchange(address, self.answer_time, async |client| {
-            let mut request = client.failed_request();
-            request.get().set_pool(pool.as_str());
-            request.get().set_endpoint(endpoint.as_str());
-            request.send().promise.await?;
-            Ok(())
-        })
-        .await
+    fn failed<'a>(
+        &'a self,
+        address: &'a str,
+        pool: &'a PoolId,
+        endpoint: &'a EndpointId,
+    ) -> PeerAnswer<'a, ()> {
+        async move {
+            self.exchange(address, self.answer_time, async |client| {
+                let mut request = client.failed_request();
+                request.get().set_pool(pool.as_str());
+                request.get().set_endpoint(endpoint.as_str());
+                request.send().promise.await?;
+                Ok(())
+            })
+            .await
+        }
+        .boxed_local()
     }
 
-    /// Reads the quarantined fingerprints.
-    ///
-    /// # Errors
-    ///
-    /// When no answer came.
-    pub async fn quarantined(&self, address: &str) -> Result<Vec<Fingerprint>, PeerFault> {
-        self.exchange(address, self.answer_time, async |client| {
-            let answer = client.quarantined_request().send().promise.await?;
-            let list = answer.get()?.get_fingerprints()?;
-            Ok(list.iter().map(Fingerprint).collect())
-        })
-        .await
+    fn quarantined<'a>(&'a self, address: &'a str) -> PeerAnswer<'a, Vec<Fingerprint>> {
+        async move {
+            self.exchange(address, self.answer_time, async |client| {
+                let answer = client.quarantined_request().send().promise.await?;
+                let list = answer.get()?.get_fingerprints()?;
+                Ok(list.iter().map(Fingerprint).collect())
+            })
+            .await
+        }
+        .boxed_local()
     }
 }
 
--- a/crates/scenarios/src/lib.rs
+++ b/crates/scenarios/src/lib.rs
@@ -1,1 +1,24 @@
-//! Scenario runner: rhai scripts against the decisions on virtual time, and process tests.
+//! Entry instances on virtual time with small fakes at their interfaces.
+//!
+//! The code under test is the real composition of `entry`; only what lies behind its ports is
+//! faked. One thread and paused time make a scenario give the same verdict every run.
+
+mod clients;
+mod engines;
+mod gate;
+mod invariants;
+mod ledger;
+mod network;
+mod node;
+mod peers;
+mod platform;
+mod schedule;
+mod script;
+mod services;
+mod world;
+
+pub use invariants::Violation;
+pub use ledger::RequestEnd;
+pub use schedule::{ScheduleReport, run_schedule};
+pub use script::run_script;
+pub use world::{World, WorldPlan};
--- /dev/null
+++ b/crates/scenarios/src/main.rs
@@ -0,0 +1,134 @@
+//! Runs scenario scripts and random schedules from the command line.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+
+use clap::{Parser, Subcommand};
+use jackdawpoint_scenarios::{ScheduleReport, run_schedule, run_script};
+
+/// Scenarios on virtual time.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct ScenarioArgs {
+    #[command(subcommand)]
+    command: ScenarioCommand,
+}
+
+#[derive(Debug, Subcommand)]
+enum ScenarioCommand {
+    /// Runs script files.
+    Run {
+        /// The files.
+        files: Vec<PathBuf>,
+    },
+    /// Runs the random schedules of a range of seeds.
+    Soak {
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        first: u64,
+        /// How many seeds.
+        #[arg(long, default_value_t = 100)]
+        count: u64,
+        /// Threads.
+        #[arg(long, default_value_t = 6)]
+        threads: usize,
+    },
+    /// Runs one seed's schedule and prints what it did.
+    Seed {
+        /// The seed.
+        seed: u64,
+    },
+}
+
+fn main() -> ExitCode {
+    match ScenarioArgs::parse().command {
+        ScenarioCommand::Run { files } => run_files(&files),
+        ScenarioCommand::Soak {
+            first,
+            count,
+            threads,
+        } => soak(first, count, threads),
+        ScenarioCommand::Seed { seed } => show_seed(seed),
+    }
+}
+
+fn run_files(files: &[PathBuf]) -> ExitCode {
+    let mut failed = 0;
+    for file in files {
+        let result = std::fs::read_to_string(file)
+            .map_err(|error| error.to_string())
+            .and_then(|source| run_script(&source));
+        match result {
+            Ok(()) => println!("{}: passed", file.display()),
+            Err(error) => {
+                failed += 1;
+                println!("{}: FAILED: {error}", file.display());
+            }
+        }
+    }
+    if failed > 0 {
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
+
+fn soak(first: u64, count: u64, threads: usize) -> ExitCode {
+    let next = AtomicU64::new(first);
+    let run = || {
+        let mut reports = Vec::new();
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed >= first + count {
+                return reports;
+            }
+            let report = run_schedule(seed);
+            if !report.violations.is_empty() {
+                println!("seed {seed}: {}", report.violations[0]);
+            }
+            reports.push(report);
+        }
+    };
+    let reports: Vec<ScheduleReport> = thread::scope(|scope| {
+        let handles: Vec<_> = (0..threads).map(|_| scope.spawn(run)).collect();
+        handles
+            .into_iter()
+            .flat_map(|handle| handle.join().expect("a schedule panicked"))
+            .collect()
+    });
+    summarize(&reports)
+}
+
+fn summarize(reports: &[ScheduleReport]) -> ExitCode {
+    let sum = |part: fn(&ScheduleReport) -> usize| reports.iter().map(part).sum::<usize>();
+    let failed = reports
+        .iter()
+        .filter(|one| !one.violations.is_empty())
+        .count();
+    println!(
+        "{} seeds, {failed} with violations; {} requests: {} whole, {} not run, {} unfinished, \
+         {} cut by a kill",
+        reports.len(),
+        sum(|one| one.requests),
+        sum(|one| one.whole),
+        sum(|one| one.not_run),
+        sum(|one| one.unfinished),
+        sum(|one| one.cut),
+    );
+    if failed > 0 {
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
+
+fn show_seed(seed: u64) -> ExitCode {
+    let report = run_schedule(seed);
+    for action in &report.actions {
+        println!("{action}");
+    }
+    for violation in &report.violations {
+        println!("VIOLATION {violation}");
+    }
+    summarize(&[report])
+}
--- /dev/null
+++ b/crates/scenarios/src/peers.rs
@@ -0,0 +1,185 @@
+//! Fake connections between entry instances.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use peer::{
+    ApplyReport, DocumentBatch, PeerAnswer, PeerFault, PeerHandler, PeerPort, ProbeMessage,
+    RelayVerdict,
+};
+use policy::ids::{EndpointId, PoolId};
+use policy::leaving::Announcement;
+use policy::poison::{CrashReport, Fingerprint};
+use policy::pool::{GrantAsk, GrantDecision, GrantId};
+use policy::rollout::DomainReport;
+use policy::template::ConfigDocument;
+use tokio::time::timeout;
+
+use crate::gate::NodePhase;
+use crate::network::Passage;
+use crate::world::WorldState;
+
+/// Longest wait for an ordinary answer.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
+
+/// The other instances as one node reaches them.
+pub(crate) struct FakePeers {
+    world: Rc<WorldState>,
+    node: String,
+}
+
+impl FakePeers {
+    pub(crate) fn new(world: Rc<WorldState>, node: &str) -> Self {
+        Self {
+            world,
+            node: node.to_owned(),
+        }
+    }
+
+    /// Carries a message to the instance at `address` and its answer back.
+    async fn exchange<T>(
+        &self,
+        address: &str,
+        time: Duration,
+        act: impl AsyncFnOnce(Rc<dyn PeerHandler>) -> T,
+    ) -> Result<T, PeerFault> {
+        match timeout(time, self.deliver(address, act)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(PeerFault::AnswerLost),
+        }
+    }
+
+    async fn deliver<T>(
+        &self,
+        address: &str,
+        act: impl AsyncFnOnce(Rc<dyn PeerHandler>) -> T,
+    ) -> Result<T, PeerFault> {
+        let Some((name, gate, handler)) = self.world.node_at(address) else {
+            return Err(PeerFault::Unreachable);
+        };
+        let network = &self.world.network;
+        if network.carry(&self.node, &name).await == Passage::Cut {
+            std::future::pending::<()>().await;
+        }
+        if gate.until_running().await == NodePhase::Killed {
+            return Err(PeerFault::AnswerLost);
+        }
+        let answer = crate::gate::Gated::new(&gate, act(handler)).await;
+        let answer = answer.ok_or(PeerFault::AnswerLost)?;
+        if network.carry(&name, &self.node).await == Passage::Cut {
+            std::future::pending::<()>().await;
+        }
+        Ok(answer)
+    }
+}
+
+impl PeerPort for FakePeers {
+    fn close(&self, _address: &str) {}
+
+    fn probe<'a>(
+        &'a self,
+        address: &'a str,
+        message: &'a ProbeMessage,
+    ) -> PeerAnswer<'a, ProbeMessage> {
+        let message = message.clone();
+        self.exchange(address, ANSWER_TIME, async move |peer| peer.probe(message))
+            .boxed_local()
+    }
+
+    fn relay<'a>(&'a self, relay: &'a str, address: &'a str) -> PeerAnswer<'a, RelayVerdict> {
+        let address = address.to_owned();
+        self.exchange(relay, ANSWER_TIME * 2, async move |peer| {
+            peer.relay(address).await
+        })
+        .boxed_local()
+    }
+
+    fn ask<'a>(
+        &'a self,
+        address: &'a str,
+        pool: &'a PoolId,
+        ask: &'a GrantAsk,
+    ) -> PeerAnswer<'a, GrantDecision> {
+        let time = Duration::from_millis(ask.time_left) + ANSWER_TIME;
+        let (pool, ask) = (pool.clone(), ask.clone());
+        self.exchange(address, time, async move |peer| peer.ask(pool, ask).await)
+            .boxed_local()
+    }
+
+    fn release<'a>(
+        &'a self,
+        address: &'a str,
+        pool: &'a PoolId,
+        grant: GrantId,
+    ) -> PeerAnswer<'a, ()> {
+        self.exchange(address, ANSWER_TIME, async move |peer| {
+            peer.release(pool, grant);
+        })
+        .boxed_local()
+    }
+
+    fn announce<'a>(
+        &'a self,
+        address: &'a str,
+        announcements: &'a [Announcement],
+    ) -> PeerAnswer<'a, Vec<Announcement>> {
+        self.exchange(address, ANSWER_TIME, async move |peer| {
+            peer.announce(announcements)
+        })
+        .boxed_local()
+    }
+
+    fn documents<'a>(&'a self, address: &'a str, since: u64) -> PeerAnswer<'a, DocumentBatch> {
+        self.exchange(address, ANSWER_TIME, async move |peer| {
+            peer.documents(since)
+        })
+        .boxed_local()
+    }
+
+    fn apply<'a>(
+        &'a self,
+        address: &'a str,
+        documents: &'a [ConfigDocument],
+    ) -> PeerAnswer<'a, ApplyReport> {
+        self.exchange(address, ANSWER_TIME, async move |peer| {
+            peer.apply(documents)
+        })
+        .boxed_local()
+    }
+
+    fn rollout<'a>(
+        &'a self,
+        address: &'a str,
+        version: u64,
+        documents: &'a [ConfigDocument],
+    ) -> PeerAnswer<'a, DomainReport> {
+        let documents = documents.to_vec();
+        self.exchange(address, ANSWER_TIME * 3, async move |peer| {
+            peer.rollout(version, documents).await
+        })
+        .boxed_local()
+    }
+
+    fn crashed<'a>(&'a self, address: &'a str, report: &'a CrashReport) -> PeerAnswer<'a, ()> {
+        self.exchange(address, ANSWER_TIME, async move |peer| peer.crashed(report))
+            .boxed_local()
+    }
+
+    fn failed<'a>(
+        &'a self,
+        address: &'a str,
+        pool: &'a PoolId,
+        endpoint: &'a EndpointId,
+    ) -> PeerAnswer<'a, ()> {
+        self.exchange(address, ANSWER_TIME, async move |peer| {
+            peer.failed(pool, endpoint);
+        })
+        .boxed_local()
+    }
+
+    fn quarantined<'a>(&'a self, address: &'a str) -> PeerAnswer<'a, Vec<Fingerprint>> {
+        self.exchange(address, ANSWER_TIME, async move |peer| peer.quarantined())
+            .boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/scenarios/src/platform.rs
@@ -0,0 +1,316 @@
+//! Fake of the key-value service and the instance list, as one node reaches them.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use platform::{
+    CasVerdict, InstanceKind, InstanceState, KeyValue, KeyValueFault, LeaseId, LeaseState,
+    ListedInstance, PlatformFuture, StoredKey, StoredValue, WatchEvent, WatchReport,
+};
+use policy::ids::Incarnation;
+use tokio::time::{Instant, sleep};
+
+use crate::network::Passage;
+use crate::world::WorldState;
+
+/// Name of the platform's site.
+pub(crate) const PLATFORM: &str = "platform";
+
+/// Longest wait of a client for an answer.
+const ANSWER_TIME: Duration = Duration::from_millis(1_500);
+
+/// How often a watch looks for changes.
+const WATCH_POLL: Duration = Duration::from_millis(25);
+
+/// State and faults of the platform.
+#[derive(Debug, Default)]
+pub(crate) struct PlatformState {
+    pub(crate) is_down: bool,
+    pub(crate) lose_answers: u32,
+    pub(crate) calls: u64,
+    pub(crate) list: Vec<ListedInstance>,
+    entries: BTreeMap<String, (StoredValue, Option<LeaseId>)>,
+    events: Vec<WatchEvent>,
+    leases: BTreeMap<LeaseId, (Duration, Instant)>,
+    revision: u64,
+}
+
+impl PlatformState {
+    fn expire(&mut self) {
+        let now = Instant::now();
+        self.leases.retain(|_, (_, end)| *end > now);
+        let leases = &self.leases;
+        let is_lapsed =
+            |lease: &Option<LeaseId>| lease.is_some_and(|lease| !leases.contains_key(&lease));
+        let lapsed: Vec<String> = self
+            .entries
+            .iter()
+            .filter(|(_, (_, lease))| is_lapsed(lease))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in lapsed {
+            self.remove(&key);
+        }
+    }
+
+    fn remove(&mut self, key: &str) {
+        self.entries.remove(key);
+        self.revision += 1;
+        self.events.push(WatchEvent::Deleted {
+            key: key.to_owned(),
+            revision: self.revision,
+        });
+    }
+
+    fn revision_of(&self, key: &str) -> u64 {
+        self.entries
+            .get(key)
+            .map_or(0, |(stored, _)| stored.revision)
+    }
+
+    fn swap(
+        &mut self,
+        key: &str,
+        value: &str,
+        expected: u64,
+        lease: Option<LeaseId>,
+    ) -> CasVerdict {
+        let present = self.revision_of(key);
+        let is_lapsed = lease.is_some_and(|lease| !self.leases.contains_key(&lease));
+        if present != expected || is_lapsed {
+            return CasVerdict::Conflict(present);
+        }
+        self.revision += 1;
+        let stored = StoredValue {
+            value: value.to_owned(),
+            revision: self.revision,
+        };
+        self.events.push(WatchEvent::Put {
+            key: key.to_owned(),
+            stored: stored.clone(),
+        });
+        self.entries.insert(key.to_owned(), (stored, lease));
+        CasVerdict::Written(self.revision)
+    }
+
+    fn changes(&self, prefix: &str, after: u64) -> Vec<WatchEvent> {
+        if after == 0 {
+            let entries = self.entries.iter();
+            let under = entries.filter(|(key, _)| key.starts_with(prefix));
+            return under
+                .map(|(key, (stored, _))| WatchEvent::Put {
+                    key: key.clone(),
+                    stored: stored.clone(),
+                })
+                .collect();
+        }
+        self.events
+            .iter()
+            .filter(|event| match event {
+                WatchEvent::Put { key, stored } => {
+                    key.starts_with(prefix) && stored.revision > after
+                }
+                WatchEvent::Deleted { key, revision } => {
+                    key.starts_with(prefix) && *revision > after
+                }
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// Writes a key without a condition.
+    pub(crate) fn put(&mut self, key: &str, value: &str) {
+        let present = self.revision_of(key);
+        self.swap(key, value, present, None);
+    }
+
+    /// Shows an instance in the list, in the place of its earlier lives.
+    pub(crate) fn list_instance(&mut self, row: ListedInstance) {
+        self.list.retain(|known| known.name != row.name);
+        self.list.push(row);
+    }
+
+    pub(crate) fn unlist(&mut self, name: &str) {
+        self.list.retain(|known| known.name != name);
+    }
+}
+
+/// A row of the list.
+pub(crate) fn listed(
+    name: &str,
+    domain: &str,
+    address: &str,
+    kind: InstanceKind,
+    incarnation: u64,
+) -> ListedInstance {
+    ListedInstance {
+        name: name.to_owned(),
+        kind,
+        failure_domain: domain.to_owned(),
+        address: address.to_owned(),
+        incarnation: Incarnation(incarnation),
+        state: InstanceState::Live,
+    }
+}
+
+/// The platform as one node reaches it.
+pub(crate) struct FakePlatform {
+    world: Rc<WorldState>,
+    node: String,
+}
+
+impl FakePlatform {
+    pub(crate) fn new(world: Rc<WorldState>, node: &str) -> Self {
+        Self {
+            world,
+            node: node.to_owned(),
+        }
+    }
+
+    fn state(&self) -> &RefCell<PlatformState> {
+        &self.world.platform
+    }
+
+    /// Carries a call to the service and its answer back.
+    async fn call<T>(
+        &self,
+        kind: CallKind,
+        act: impl FnOnce(&mut PlatformState) -> T,
+    ) -> Result<T, KeyValueFault> {
+        let network = &self.world.network;
+        if network.carry(&self.node, PLATFORM).await == Passage::Cut {
+            sleep(ANSWER_TIME).await;
+            return Err(KeyValueFault::AnswerLost);
+        }
+        let (answer, is_lost) = {
+            let mut state = self.state().borrow_mut();
+            state.calls += 1;
+            state.expire();
+            if state.is_down {
+                return Err(KeyValueFault::AnswerLost);
+            }
+            let answer = act(&mut state);
+            let is_lost = kind == CallKind::Write && state.lose_answers > 0;
+            if is_lost {
+                state.lose_answers -= 1;
+            }
+            (answer, is_lost)
+        };
+        if is_lost || network.carry(PLATFORM, &self.node).await == Passage::Cut {
+            sleep(ANSWER_TIME).await;
+            return Err(KeyValueFault::AnswerLost);
+        }
+        Ok(answer)
+    }
+}
+
+#[derives::tag]
+enum CallKind {
+    Read,
+    Write,
+}
+
+impl KeyValue for FakePlatform {
+    fn get<'a>(&'a self, key: &'a str) -> PlatformFuture<'a, Option<StoredValue>> {
+        self.call(CallKind::Read, |state| {
+            state.entries.get(key).map(|(stored, _)| stored.clone())
+        })
+        .boxed_local()
+    }
+
+    fn compare_and_swap<'a>(
+        &'a self,
+        key: &'a str,
+        value: &'a str,
+        expected: u64,
+        lease: Option<LeaseId>,
+    ) -> PlatformFuture<'a, CasVerdict> {
+        self.call(CallKind::Write, move |state| {
+            state.swap(key, value, expected, lease)
+        })
+        .boxed_local()
+    }
+
+    fn delete<'a>(&'a self, key: &'a str, expected: u64) -> PlatformFuture<'a, CasVerdict> {
+        self.call(CallKind::Write, move |state| {
+            let present = state.revision_of(key);
+            if present != expected || present == 0 {
+                return CasVerdict::Conflict(present);
+            }
+            state.remove(key);
+            CasVerdict::Written(state.revision)
+        })
+        .boxed_local()
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str, limit: usize) -> PlatformFuture<'a, Vec<StoredKey>> {
+        self.call(CallKind::Read, move |state| {
+            let entries = state.entries.iter();
+            let under = entries.filter(|(key, _)| key.starts_with(prefix));
+            under
+                .take(limit)
+                .map(|(key, (stored, _))| StoredKey {
+                    key: key.clone(),
+                    revision: stored.revision,
+                })
+                .collect()
+        })
+        .boxed_local()
+    }
+
+    fn grant_lease(&self, ttl: u64) -> PlatformFuture<'_, LeaseId> {
+        self.call(CallKind::Write, move |state| {
+            state.revision += 1;
+            let lease = LeaseId(state.revision);
+            let ttl = Duration::from_millis(ttl);
+            state.leases.insert(lease, (ttl, Instant::now() + ttl));
+            lease
+        })
+        .boxed_local()
+    }
+
+    fn renew_lease(&self, lease: LeaseId) -> PlatformFuture<'_, LeaseState> {
+        self.call(CallKind::Write, move |state| {
+            match state.leases.get_mut(&lease) {
+                Some((ttl, end)) => {
+                    *end = Instant::now() + *ttl;
+                    LeaseState::Renewed
+                }
+                None => LeaseState::Lapsed,
+            }
+        })
+        .boxed_local()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        revision: u64,
+        wait: u64,
+    ) -> PlatformFuture<'a, WatchReport> {
+        async move {
+            let end = Instant::now() + Duration::from_millis(wait);
+            loop {
+                let report = self
+                    .call(CallKind::Read, |state| WatchReport {
+                        revision: state.revision,
+                        events: state.changes(prefix, revision),
+                    })
+                    .await?;
+                if revision == 0 || !report.events.is_empty() || Instant::now() >= end {
+                    return Ok(report);
+                }
+                sleep(WATCH_POLL).await;
+            }
+        }
+        .boxed_local()
+    }
+
+    fn instances(&self) -> PlatformFuture<'_, Vec<ListedInstance>> {
+        self.call(CallKind::Read, |state| state.list.clone())
+            .boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/scenarios/src/script.rs
@@ -0,0 +1,265 @@
+//! Scenario scripts in rhai.
+//!
+//! A script gets the functions registered here; `docs/SCENARIOS.md` describes them. It fails by
+//! `expect(condition, "what was expected")`.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use rhai::{Dynamic, Engine, EvalAltResult, Map};
+
+use crate::clients::PromptPlan;
+use crate::world::{World, WorldPlan};
+
+type Shared = Rc<RefCell<Option<World>>>;
+type ScriptResult<T> = Result<T, Box<EvalAltResult>>;
+
+/// Runs a script against a world of its own, then checks every invariant.
+///
+/// # Errors
+///
+/// The script's error, the expectation that failed, or the invariants that were broken.
+pub fn run_script(source: &str) -> Result<(), String> {
+    let shared: Shared = Rc::new(RefCell::new(None));
+    let mut engine = Engine::new();
+    engine.set_max_operations(10_000_000);
+    register_world(&mut engine, &shared);
+    register_faults(&mut engine, &shared);
+    register_requests(&mut engine, &shared);
+    register_operators(&mut engine, &shared);
+    engine.run(source).map_err(|error| error.to_string())?;
+    let world = shared.borrow();
+    let broken = world.as_ref().map_or(&[][..], World::violations);
+    if broken.is_empty() {
+        return Ok(());
+    }
+    let lines: Vec<String> = broken.iter().map(ToString::to_string).collect();
+    Err(lines.join("; "))
+}
+
+fn with<T>(shared: &Shared, act: impl FnOnce(&mut World) -> T) -> ScriptResult<T> {
+    let mut world = shared.borrow_mut();
+    let world = world
+        .as_mut()
+        .ok_or("the script must begin with `world(#{...})`")?;
+    Ok(act(world))
+}
+
+fn number(map: &Map, name: &str, default: u64) -> ScriptResult<u64> {
+    let Some(value) = map.get(name) else {
+        return Ok(default);
+    };
+    let value = value
+        .as_int()
+        .map_err(|kind| format!("`{name}` is {kind}, not a whole number"))?;
+    u64::try_from(value).map_err(|_| format!("`{name}` is negative").into())
+}
+
+fn check_names(map: &Map, known: &[&str]) -> ScriptResult<()> {
+    for name in map.keys() {
+        if !known.contains(&name.as_str()) {
+            return Err(format!("`{name}` is not one of {known:?}").into());
+        }
+    }
+    Ok(())
+}
+
+fn register_world(engine: &mut Engine, shared: &Shared) {
+    let world = shared.clone();
+    engine.register_fn("world", move |map: Map| -> ScriptResult<()> {
+        let plan = world_plan(&map)?;
+        *world.borrow_mut() = Some(World::new(plan));
+        Ok(())
+    });
+    let world = shared.clone();
+    engine.register_fn("run", move |millis: i64| {
+        with(&world, |world| {
+            world.run(u64::try_from(millis).unwrap_or(0));
+        })
+    });
+    let world = shared.clone();
+    engine.register_fn("settled", move || with(&world, World::check_settled));
+    engine.register_fn("expect", |holds: bool, what: &str| -> ScriptResult<()> {
+        if holds {
+            return Ok(());
+        }
+        Err(format!("expected: {what}").into())
+    });
+}
+
+fn world_plan(map: &Map) -> ScriptResult<WorldPlan> {
+    check_names(
+        map,
+        &[
+            "domains", "nodes", "engines", "services", "slots", "memory", "seed",
+        ],
+    )?;
+    let default = WorldPlan::default();
+    let size = |name: &str, default: usize| -> ScriptResult<usize> {
+        let value = number(map, name, default as u64)?;
+        usize::try_from(value).map_err(|_| format!("`{name}` is too large").into())
+    };
+    let domains = match map.get("domains") {
+        None => default.domains,
+        Some(list) => list
+            .clone()
+            .into_typed_array::<String>()
+            .map_err(|kind| format!("`domains` holds {kind}, not text"))?,
+    };
+    Ok(WorldPlan {
+        domains,
+        nodes: size("nodes", default.nodes)?,
+        engines: size("engines", default.engines)?,
+        services: size("services", default.services)?,
+        slots: size("slots", default.slots)?,
+        memory_tokens: number(map, "memory", default.memory_tokens)?,
+        seed: number(map, "seed", default.seed)?,
+    })
+}
+
+/// Registers a function that acts on one named thing.
+fn register_on(engine: &mut Engine, shared: &Shared, name: &str, act: fn(&World, &str)) {
+    let world = shared.clone();
+    engine.register_fn(name, move |subject: &str| {
+        with(&world, |world| act(world, subject))
+    });
+}
+
+fn register_faults(engine: &mut Engine, shared: &Shared) {
+    register_on(engine, shared, "start", World::start_node);
+    register_on(engine, shared, "kill", World::kill);
+    register_on(engine, shared, "vanish", World::vanish);
+    register_on(engine, shared, "freeze", World::freeze);
+    register_on(engine, shared, "wake", World::wake);
+    register_on(engine, shared, "stop", World::stop_node);
+    register_on(engine, shared, "freeze_engine", World::freeze_engine);
+    register_on(engine, shared, "wake_engine", World::wake_engine);
+    register_on(engine, shared, "silence_engine", World::silence_engine);
+    register_on(engine, shared, "cross_frame", World::cross_frame);
+    register_on(engine, shared, "truncate_stream", World::truncate_stream);
+    register_on(engine, shared, "lose_call_answer", World::lose_call_answer);
+    let world = shared.clone();
+    engine.register_fn("kill_engine", move |name: &str, down: i64| {
+        with(&world, |world| {
+            world.kill_engine(name, u64::try_from(down).unwrap_or(0));
+        })
+    });
+    let world = shared.clone();
+    engine.register_fn("stop_service", move |name: &str, down: i64| {
+        with(&world, |world| {
+            world.stop_service(name, u64::try_from(down).unwrap_or(0));
+        })
+    });
+    let world = shared.clone();
+    engine.register_fn("cut", move |one: &str, other: &str| {
+        with(&world, |world| world.cut(one, other))
+    });
+    let world = shared.clone();
+    engine.register_fn("heal", move || with(&world, |world| world.heal()));
+    let world = shared.clone();
+    engine.register_fn("platform_down", move || {
+        with(&world, |world| world.set_platform_down(true))
+    });
+    let world = shared.clone();
+    engine.register_fn("platform_up", move || {
+        with(&world, |world| world.set_platform_down(false))
+    });
+    let world = shared.clone();
+    engine.register_fn("lose_answers", move |count: i64| {
+        with(&world, |world| {
+            world.lose_platform_answers(u32::try_from(count).unwrap_or(0));
+        })
+    });
+}
+
+fn register_requests(engine: &mut Engine, shared: &Shared) {
+    let world = shared.clone();
+    engine.register_fn("complete", move |node: &str, map: Map| {
+        let plan = prompt_plan(&map)?;
+        with(&world, |world| request_number(world.complete(node, &plan)))
+    });
+    let world = shared.clone();
+    engine.register_fn("fresh_key", move || with(&world, |world| world.fresh_key()));
+    let world = shared.clone();
+    engine.register_fn("call", move |node: &str, key: &str, timeout: i64| {
+        let timeout = u64::try_from(timeout).unwrap_or(0);
+        with(&world, |world| {
+            request_number(world.call(node, key, timeout))
+        })
+    });
+    let world = shared.clone();
+    engine.register_fn("outcome", move |number: i64| {
+        with(&world, |world| {
+            let number = usize::try_from(number).unwrap_or(usize::MAX);
+            world.end_of(number).text()
+        })
+    });
+    let world = shared.clone();
+    engine.register_fn("millis", move |number: i64| {
+        with(&world, |world| {
+            let number = usize::try_from(number).unwrap_or(usize::MAX);
+            i64::try_from(world.millis_of(number)).unwrap_or(i64::MAX)
+        })
+    });
+    let world = shared.clone();
+    engine.register_fn("runs", move |key: &str| {
+        with(&world, |world| i64::from(world.runs_of(key)))
+    });
+    let world = shared.clone();
+    engine.register_fn("memory", move || {
+        with(&world, |world| {
+            i64::try_from(world.used_tokens()).unwrap_or(i64::MAX)
+        })
+    });
+    let world = shared.clone();
+    engine.register_fn("crashes", move || {
+        with(&world, |world| {
+            i64::try_from(world.engine_crashes()).unwrap_or(i64::MAX)
+        })
+    });
+}
+
+fn request_number(number: usize) -> Dynamic {
+    Dynamic::from_int(i64::try_from(number).unwrap_or(i64::MAX))
+}
+
+fn prompt_plan(map: &Map) -> ScriptResult<PromptPlan> {
+    check_names(
+        map,
+        &["prompt", "prefill", "answer", "token", "timeout", "name"],
+    )?;
+    let prefix = map
+        .get("name")
+        .map_or_else(String::new, ToString::to_string);
+    Ok(PromptPlan {
+        prompt_tokens: number(map, "prompt", 1_000)?,
+        prefill_ms: number(map, "prefill", 10)?,
+        answer_tokens: number(map, "answer", 20)?,
+        token_ms: number(map, "token", 30)?,
+        timeout_ms: number(map, "timeout", 10_000)?,
+        prefix,
+    })
+}
+
+fn register_operators(engine: &mut Engine, shared: &Shared) {
+    let world = shared.clone();
+    engine.register_fn("set_template", move |node: &str, tokens: i64| {
+        with(&world, |world| {
+            world.set_template(node, u64::try_from(tokens).unwrap_or(1));
+        })
+    });
+    let world = shared.clone();
+    engine.register_fn("accepted", move || {
+        with(&world, |world| {
+            i64::try_from(world.accepted_version()).unwrap_or(i64::MAX)
+        })
+    });
+    let world = shared.clone();
+    engine.register_fn("announce", move |node: &str, subject: &str| {
+        with(&world, |world| world.announce(node, subject))
+    });
+    let world = shared.clone();
+    engine.register_fn("ready", move |node: &str| {
+        with(&world, |world| world.is_ready(node))
+    });
+}
--- /dev/null
+++ b/crates/scenarios/src/world.rs
@@ -0,0 +1,611 @@
+//! A world of entry instances, engines, services and a platform on virtual time.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use entry::IdentitySource;
+use peer::PeerHandler;
+use policy::template::{
+    AccountTemplate, ClientAccount, ConfigBody, ModelRule, Repeatability, ServiceRule,
+};
+use serde_json::{Value, json};
+use service::ServiceCall;
+use settings::{EntrySettings, parse_settings};
+use tokio::runtime::Runtime;
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep};
+
+use crate::engines::EngineState;
+use crate::gate::{NodeGate, NodePhase};
+use crate::invariants::Violation;
+use crate::ledger::Ledger;
+use crate::network::FakeNetwork;
+use crate::node::{NodeEnd, NodeSlot};
+use crate::platform::PlatformState;
+use crate::services::ServiceState;
+
+/// Milliseconds since the Unix epoch at which every world begins.
+const WORLD_START: u64 = 1_700_000_000_000;
+
+/// The API key of the world's client account, by its digest in `key_digest`.
+pub(crate) const API_KEY: &str = "world-key";
+
+/// The model that the world's engines serve.
+pub(crate) const MODEL: &str = "advice";
+
+/// How long the platform's list shows an instance that has died.
+const LIST_LAG: Duration = Duration::from_secs(10);
+
+/// Between two checks of the invariants, in milliseconds.
+const STEP: u64 = 50;
+
+/// What a world is made of.
+#[derives::value]
+pub struct WorldPlan {
+    /// Names of the failure domains.
+    pub domains: Vec<String>,
+    /// Entry instances in each.
+    pub nodes: usize,
+    /// Engines in each.
+    pub engines: usize,
+    /// Service endpoints in each.
+    pub services: usize,
+    /// Streams that an engine runs side by side.
+    pub slots: usize,
+    /// Memory of an engine, in tokens.
+    pub memory_tokens: u64,
+    /// Seed of everything random.
+    pub seed: u64,
+}
+
+impl Default for WorldPlan {
+    fn default() -> Self {
+        Self {
+            domains: vec!["a".to_owned(), "b".to_owned()],
+            nodes: 3,
+            engines: 3,
+            services: 2,
+            slots: 8,
+            memory_tokens: 100_000,
+            seed: 1,
+        }
+    }
+}
+
+/// Virtual wall clock and counted ids.
+pub(crate) struct FakeIdentity {
+    start: Instant,
+    next: AtomicU64,
+}
+
+impl IdentitySource for FakeIdentity {
+    fn unix_millis(&self) -> u64 {
+        let elapsed = self.start.elapsed().as_millis();
+        WORLD_START + u64::try_from(elapsed).unwrap_or(u64::MAX)
+    }
+
+    fn unique_id(&self) -> u128 {
+        u128::from(self.next.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
+/// What all fakes share.
+pub(crate) struct WorldState {
+    pub(crate) network: FakeNetwork,
+    pub(crate) platform: RefCell<PlatformState>,
+    pub(crate) nodes: RefCell<BTreeMap<String, NodeSlot>>,
+    pub(crate) ledger: RefCell<Ledger>,
+    pub(crate) identity: Arc<FakeIdentity>,
+    engines: RefCell<BTreeMap<SocketAddr, EngineState>>,
+    services: RefCell<BTreeMap<SocketAddr, ServiceState>>,
+}
+
+impl WorldState {
+    pub(crate) fn with_engine<T>(
+        &self,
+        address: SocketAddr,
+        act: impl FnOnce(&mut EngineState) -> T,
+    ) -> T {
+        let mut engines = self.engines.borrow_mut();
+        act(engines
+            .get_mut(&address)
+            .expect("settings name known engines"))
+    }
+
+    pub(crate) fn with_service<T>(
+        &self,
+        address: SocketAddr,
+        act: impl FnOnce(&mut ServiceState) -> T,
+    ) -> T {
+        let mut services = self.services.borrow_mut();
+        act(services
+            .get_mut(&address)
+            .expect("settings name known services"))
+    }
+
+    pub(crate) fn with_named_engine<T>(
+        &self,
+        name: &str,
+        act: impl FnOnce(&mut EngineState) -> T,
+    ) -> T {
+        let mut engines = self.engines.borrow_mut();
+        let found = engines.values_mut().find(|engine| engine.name == name);
+        act(found.unwrap_or_else(|| panic!("there is no engine {name}")))
+    }
+
+    pub(crate) fn with_named_service<T>(
+        &self,
+        name: &str,
+        act: impl FnOnce(&mut ServiceState) -> T,
+    ) -> T {
+        let mut services = self.services.borrow_mut();
+        let found = services.values_mut().find(|service| service.name == name);
+        act(found.unwrap_or_else(|| panic!("there is no service {name}")))
+    }
+
+    pub(crate) fn with_node<T>(&self, name: &str, act: impl FnOnce(&mut NodeSlot) -> T) -> T {
+        let mut nodes = self.nodes.borrow_mut();
+        let slot = nodes.get_mut(name);
+        act(slot.unwrap_or_else(|| panic!("there is no instance {name}")))
+    }
+
+    /// The running instance that listens at a peer address.
+    pub(crate) fn node_at(
+        &self,
+        address: &str,
+    ) -> Option<(String, Rc<NodeGate>, Rc<dyn PeerHandler>)> {
+        let nodes = self.nodes.borrow();
+        let slot = nodes.values().find(|slot| slot.address == address)?;
+        let running = slot.running.as_ref()?;
+        Some((
+            slot.name.clone(),
+            slot.gate.clone(),
+            running.handler.clone(),
+        ))
+    }
+
+    pub(crate) fn is_vanished(&self, node: &str) -> bool {
+        let nodes = self.nodes.borrow();
+        nodes
+            .get(node)
+            .is_some_and(|slot| slot.end == NodeEnd::Vanished)
+    }
+
+    pub(crate) fn engine_names(&self) -> Vec<String> {
+        let engines = self.engines.borrow();
+        engines.values().map(|engine| engine.name.clone()).collect()
+    }
+
+    pub(crate) fn service_names(&self) -> Vec<String> {
+        let services = self.services.borrow();
+        services
+            .values()
+            .map(|service| service.name.clone())
+            .collect()
+    }
+
+    pub(crate) fn used_tokens(&self) -> u64 {
+        let engines = self.engines.borrow();
+        engines.values().map(EngineState::used_tokens).sum()
+    }
+
+    pub(crate) fn engine_crashes(&self) -> u64 {
+        let engines = self.engines.borrow();
+        engines.values().map(|engine| engine.crashes).sum()
+    }
+
+    /// Records that an engine started a prompt.
+    pub(crate) fn note_started(&self, body: &str) {
+        let mark = body.split('|').next().unwrap_or(body);
+        self.ledger.borrow_mut().started.insert(mark.to_owned());
+    }
+
+    /// Records that a service ran a call.
+    pub(crate) fn note_run(&self, call: &ServiceCall) {
+        let header = |name: &str| {
+            let found = call.headers.iter().find(|(one, _)| one.as_str() == name);
+            let value = found.and_then(|(_, value)| value.to_str().ok());
+            value.unwrap_or("").to_owned()
+        };
+        let mut ledger = self.ledger.borrow_mut();
+        ledger.started.insert(header("x-mark"));
+        let key = header("idempotency-key");
+        if !key.is_empty() {
+            *ledger.runs.entry(key).or_default() += 1;
+        }
+    }
+}
+
+/// A world, moved on by the thread that owns it.
+pub struct World {
+    pub(crate) runtime: Runtime,
+    pub(crate) local: LocalSet,
+    pub(crate) state: Rc<WorldState>,
+    pub(crate) plan: WorldPlan,
+    pub(crate) violations: Vec<Violation>,
+}
+
+impl World {
+    /// Builds a world and starts all its instances; their configuration is written beforehand.
+    ///
+    /// # Panics
+    ///
+    /// When the runtime cannot be built.
+    #[must_use]
+    pub fn new(plan: WorldPlan) -> Self {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime needs nothing from outside");
+        let local = LocalSet::new();
+        let state = local.block_on(&runtime, async { build_state(&plan) });
+        let world = Self {
+            runtime,
+            local,
+            state,
+            plan,
+            violations: Vec::new(),
+        };
+        for name in world.node_names() {
+            world.start_node(&name);
+        }
+        world
+    }
+
+    /// Runs `act` inside the world's runtime.
+    pub(crate) fn enter<T>(&self, act: impl FnOnce() -> T) -> T {
+        self.local.block_on(&self.runtime, async { act() })
+    }
+
+    /// Moves time on and checks the invariants at every step.
+    pub fn run(&mut self, millis: u64) {
+        let mut left = millis;
+        while left > 0 {
+            let step = left.min(STEP);
+            left -= step;
+            let pause = sleep_in(step);
+            self.local.block_on(&self.runtime, pause);
+            self.check_step();
+        }
+    }
+
+    pub(crate) fn node_names(&self) -> Vec<String> {
+        self.state.nodes.borrow().keys().cloned().collect()
+    }
+
+    /// Starts an instance that does not run.
+    pub fn start_node(&self, name: &str) {
+        self.enter(|| {
+            let state = &self.state;
+            let is_stopped = state.with_node(name, |slot| slot.running.is_none());
+            if is_stopped {
+                state.with_node(name, |slot| slot.start(&self.state));
+            }
+        });
+    }
+
+    /// Kills an instance's process; those it is connected to notice.
+    pub fn kill(&self, name: &str) {
+        self.end_node(name, NodeEnd::Killed);
+    }
+
+    /// Takes an instance's host away; nobody it is connected to notices.
+    pub fn vanish(&self, name: &str) {
+        self.end_node(name, NodeEnd::Vanished);
+    }
+
+    pub(crate) fn end_node(&self, name: &str, end: NodeEnd) {
+        self.enter(|| end_node(&self.state, name, end));
+    }
+
+    /// Freezes an instance's process.
+    pub fn freeze(&self, name: &str) {
+        self.enter(|| {
+            self.state.with_node(name, |slot| {
+                slot.gate.freeze();
+                slot.disturbed = Instant::now();
+            });
+        });
+    }
+
+    /// Lets a frozen instance go on.
+    pub fn wake(&self, name: &str) {
+        self.enter(|| {
+            self.state.with_node(name, |slot| {
+                slot.gate.wake();
+                slot.disturbed = Instant::now();
+            });
+        });
+    }
+
+    /// Cuts two sites off from each other.
+    pub fn cut(&self, one: &str, other: &str) {
+        self.state.network.cut(one, other);
+        self.disturb_all();
+    }
+
+    /// Removes all cuts and losses.
+    pub fn heal(&self) {
+        self.state.network.heal();
+        self.disturb_all();
+    }
+
+    pub(crate) fn disturb_all(&self) {
+        self.enter(|| {
+            for slot in self.state.nodes.borrow_mut().values_mut() {
+                slot.disturbed = Instant::now();
+            }
+        });
+    }
+
+    /// Takes the platform away or brings it back.
+    pub fn set_platform_down(&self, is_down: bool) {
+        self.state.platform.borrow_mut().is_down = is_down;
+    }
+
+    /// Lets the next writes take effect and lose their answers.
+    pub fn lose_platform_answers(&self, count: u32) {
+        self.state.platform.borrow_mut().lose_answers = count;
+    }
+
+    /// Kills an engine's process; it is back after `down` milliseconds.
+    pub fn kill_engine(&self, name: &str, down: u64) {
+        let down = Duration::from_millis(down);
+        self.enter(|| {
+            self.state
+                .with_named_engine(name, |engine| engine.die(down));
+        });
+    }
+
+    /// Stops a service endpoint's process; it is back after `down` milliseconds.
+    pub fn stop_service(&self, name: &str, down: u64) {
+        let down = Duration::from_millis(down);
+        self.enter(|| {
+            let back = Instant::now() + down;
+            self.state
+                .with_named_service(name, |service| service.up_since = back);
+        });
+    }
+
+    /// Freezes an engine's process.
+    pub fn freeze_engine(&self, name: &str) {
+        self.state
+            .with_named_engine(name, |engine| engine.is_frozen = true);
+    }
+
+    /// Lets a frozen engine go on.
+    pub fn wake_engine(&self, name: &str) {
+        self.state
+            .with_named_engine(name, |engine| engine.is_frozen = false);
+    }
+
+    /// Silences the connections that are open to an engine; new ones work.
+    pub fn silence_engine(&self, name: &str) {
+        self.state
+            .with_named_engine(name, EngineState::silence_open_connections);
+    }
+
+    /// Has an engine's next frame echo another attempt.
+    pub fn cross_frame(&self, name: &str) {
+        self.state
+            .with_named_engine(name, |engine| engine.cross_frames = 1);
+    }
+
+    /// Has an engine's next stream close without its end mark.
+    pub fn truncate_stream(&self, name: &str) {
+        self.state
+            .with_named_engine(name, |engine| engine.truncate_streams = 1);
+    }
+
+    /// Has a service endpoint's next call run and get no answer.
+    pub fn lose_call_answer(&self, name: &str) {
+        self.state
+            .with_named_service(name, |service| service.lose_answers = 1);
+    }
+
+    /// Whether an instance would be sent requests by the balancer.
+    #[must_use]
+    pub fn is_ready(&self, name: &str) -> bool {
+        self.enter(|| {
+            self.state.with_node(name, |slot| {
+                let is_moving = slot.is_moving();
+                let running = slot.running.as_ref();
+                is_moving && running.is_some_and(|node| node.core.is_ready())
+            })
+        })
+    }
+
+    /// The violations seen so far.
+    #[must_use]
+    pub fn violations(&self) -> &[Violation] {
+        &self.violations
+    }
+
+    /// Tokens of memory in use on all engines.
+    #[must_use]
+    pub fn used_tokens(&self) -> u64 {
+        self.state.used_tokens()
+    }
+
+    /// Times that an engine crashed.
+    #[must_use]
+    pub fn engine_crashes(&self) -> u64 {
+        self.state.engine_crashes()
+    }
+}
+
+async fn sleep_in(millis: u64) {
+    sleep(Duration::from_millis(millis)).await;
+}
+
+/// Ends a node's process and has the list forget it later.
+pub(crate) fn end_node(state: &Rc<WorldState>, name: &str, end: NodeEnd) {
+    let ended = state.with_node(name, |slot| {
+        slot.disturbed = Instant::now();
+        slot.end(end)
+    });
+    if ended.is_none() {
+        return;
+    }
+    drop(ended);
+    let (state, name) = (state.clone(), name.to_owned());
+    tokio::task::spawn_local(async move {
+        sleep(LIST_LAG).await;
+        let is_stopped = state.with_node(&name, |slot| slot.running.is_none());
+        if is_stopped {
+            state.platform.borrow_mut().unlist(&name);
+        }
+    });
+}
+
+fn build_state(plan: &WorldPlan) -> Rc<WorldState> {
+    let mut platform = PlatformState::default();
+    for (key, body) in initial_documents() {
+        let value = json!({
+            "change": key, "author": "", "written_ms": 0, "body": body, "earlier": [],
+        });
+        platform.put(&key, &value.to_string());
+    }
+    let mut engines = BTreeMap::new();
+    let mut services = BTreeMap::new();
+    let mut nodes = BTreeMap::new();
+    for (number, domain) in plan.domains.iter().enumerate() {
+        for index in 0..plan.engines {
+            let state = EngineState::new(
+                &format!("{domain}-engine-{index}"),
+                plan.slots,
+                plan.memory_tokens,
+            );
+            engines.insert(address(number, 1, index), state);
+        }
+        for index in 0..plan.services {
+            let state = ServiceState::new(&format!("{domain}-service-{index}"));
+            services.insert(address(number, 2, index), state);
+        }
+        for index in 0..plan.nodes {
+            let name = format!("{domain}-{index}");
+            let settings = node_settings(plan, number, index);
+            nodes.insert(name.clone(), NodeSlot::new(&name, domain, settings));
+        }
+    }
+    Rc::new(WorldState {
+        network: FakeNetwork::new(plan.seed),
+        platform: RefCell::new(platform),
+        nodes: RefCell::new(nodes),
+        ledger: RefCell::new(Ledger::default()),
+        identity: Arc::new(FakeIdentity {
+            start: Instant::now(),
+            next: AtomicU64::new(1),
+        }),
+        engines: RefCell::new(engines),
+        services: RefCell::new(services),
+    })
+}
+
+fn address(domain: usize, kind: u8, index: usize) -> SocketAddr {
+    let octet = |number: usize| u8::try_from(number % 250).unwrap_or(0);
+    SocketAddr::from(([10, octet(domain), kind, octet(index)], 80))
+}
+
+/// The template with which a world begins, and which its operators change.
+pub(crate) fn template(output_tokens: u64) -> AccountTemplate {
+    AccountTemplate {
+        name: policy::ids::TemplateId::new("parents"),
+        models: vec![ModelRule {
+            model: MODEL.to_owned(),
+            target: String::new(),
+            adapter: String::new(),
+            version: String::new(),
+            rank: 0,
+        }],
+        services: vec![ServiceRule {
+            service: "orders".to_owned(),
+            calls: Repeatability::Once,
+        }],
+        output_tokens,
+        weight: 1,
+    }
+}
+
+fn initial_documents() -> Vec<(String, ConfigBody)> {
+    let template = template(64);
+    let account = ClientAccount {
+        name: policy::ids::AccountId::new("family"),
+        key_sha256: caller::KeyDigest::new(API_KEY).as_str().to_owned(),
+        template: template.name.clone(),
+    };
+    vec![
+        (
+            policy::template::template_key(&template.name),
+            ConfigBody::Template(template),
+        ),
+        (
+            policy::template::account_key(&account.name),
+            ConfigBody::Account(account),
+        ),
+    ]
+}
+
+fn node_settings(plan: &WorldPlan, domain: usize, index: usize) -> EntrySettings {
+    let engines: Vec<Value> = (0..plan.engines)
+        .map(|engine| {
+            json!({
+                "name": format!("{}-engine-{engine}", plan.domains[domain]),
+                "address": address(domain, 1, engine),
+                "slots": plan.slots,
+                "memory_tokens": plan.memory_tokens,
+                "prefill_rate": 100_000,
+            })
+        })
+        .collect();
+    let services: Vec<Value> = (0..plan.services)
+        .map(|service| {
+            json!({
+                "name": format!("{}-service-{service}", plan.domains[domain]),
+                "address": address(domain, 2, service),
+            })
+        })
+        .collect();
+    let peers = |domain: usize| -> Vec<SocketAddr> {
+        (0..plan.nodes)
+            .map(|node| address(domain, 3, node))
+            .collect()
+    };
+    let others: Vec<Value> = (0..plan.domains.len())
+        .filter(|other| *other != domain)
+        .map(|other| json!({ "name": plan.domains[other], "peers": peers(other) }))
+        .collect();
+    let form = json!({
+        "instance": format!("{}-{index}", plan.domains[domain]),
+        "failure_domain": plan.domains[domain],
+        "listen": {
+            "callers": address(domain, 4, index),
+            "operators": address(domain, 5, index),
+            "peers": address(domain, 3, index),
+        },
+        "peers": peers(domain),
+        "other_domains": others,
+        "platform": {
+            "key_value": address(99, 0, 0),
+            "instances": address(99, 0, 1),
+            "weights": address(99, 0, 2),
+        },
+        "pools": [{ "name": "advice", "models": [MODEL], "engines": engines }],
+        "services": [{ "name": "orders", "endpoints": services }],
+        "limits": { "long_tokens": 20_000, "lame_duck_ms": 500 },
+    });
+    parse_settings(&form.to_string()).unwrap_or_else(|fault| panic!("the settings: {fault}"))
+}
+
+impl NodeSlot {
+    /// Whether its process is frozen.
+    pub(crate) fn is_frozen(&self) -> bool {
+        self.gate.phase() == NodePhase::Frozen
+    }
+}
--- a/crates/timer/src/lib.rs
+++ b/crates/timer/src/lib.rs
@@ -6,10 +6,11 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
 
 /// Milliseconds since the service was made.
 pub type Millis = u64;
@@ -59,7 +60,9 @@
 }
 
 impl TimerService {
-    /// A service on the monotonic clock, from zero; [`run`](Self::run) must be polled.
+    /// A service on the runtime's clock, from zero; [`run`](Self::run) must be polled.
+    ///
+    /// A runtime with paused time gives virtual time that moves by itself.
     #[must_use]
     pub fn new() -> Self {
         Self::with_source(TimeSource::Clock(Instant::now()))
@@ -136,6 +139,7 @@
             match next {
                 Some(wait) => {
                     tokio::select! {
+                        biased;
                         () = tokio::time::sleep(wait) => {}
                         () = changed => {}
                     }
