Settle claims in time, register before reading the configuration, free engines before grants

A prompt spread over three engines that waited for ever: the grant was returned before the engines had released their memory, the next holder was refused, and excluded the very engine that it needed. 4. An instance that was frozen while it was announced woke with a new incarnation, which the announcement did not cover. Change: claims have a bound of their own and are given back when it passes; an instance registers under a lease before it reads the platform, and rollouts ask registered instances; joining is tried again; engines are cancelled before the grant is returned; an announcement covers every incarnation of the process that was announced.

--- a/crates/entry/src/announcements.rs
+++ b/crates/entry/src/announcements.rs
@@ -36,8 +36,9 @@
         match &announcement.subject {
             LeavingSubject::Endpoint(endpoint) => self.close_endpoint(endpoint),
             LeavingSubject::Instance(instance) => {
-                let me = self.tables.me();
-                if *instance == me.instance && announcement.incarnation >= me.incarnation {
+                // A process that re-joined after a pause is still the one that was announced.
+                let is_me = *instance == self.tables.me().instance;
+                if is_me && announcement.incarnation >= self.tables.born {
                     self.spawn(drain_instance(self.tables.clone()));
                 }
             }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -1,5 +1,6 @@
 //! Drives one completion: carries out the decisions of `policy::flow`.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use caller::{AnswerPart, AnswerStream, CompletionKind};
 use engine::{EngineClient, EngineFrame, FrameStream, MemoryOrder, OpenFault, StreamOrder};
 use futures::StreamExt;
+use futures::future::join_all;
 use futures::stream::unfold;
 use ntex::util::Bytes;
 use policy::flow::{EndpointEvidence, FlowEvent, FlowStep, RequestFlow, RetryGate};
@@ -426,37 +428,60 @@
             .post(async move |control| control.spread_crash(report).await);
     }
 
-    /// Cancels the running stream; the engine is asked again until it has answered.
+    /// Cancels the running stream; the engines are asked again until they have answered.
     fn cancel_stream(&mut self) {
         self.stream = None;
-        let Some(attempt) = self.attempt.take() else {
-            return;
-        };
-        let Some(held) = &self.held else {
-            return;
-        };
-        for (index, part) in held.grant.parts.iter().enumerate() {
-            let Some(engine) = self.desk.tables.engines.get(&part.endpoint) else {
-                continue;
-            };
-            let address = engine.address;
-            let held = if index == 0 {
-                EngineHold::Stream
-            } else {
-                EngineHold::Memory
-            };
+        for (address, attempt, hold) in self.take_holds() {
             self.desk
                 .control
-                .post(async move |control| control.disown(address, attempt, held).await);
+                .post(async move |control| control.disown(address, attempt, hold).await);
         }
     }
 
-    /// Returns everything that the present grant holds.
+    /// What the engines may still hold for the present attempt.
+    fn take_holds(&mut self) -> Vec<(SocketAddr, AttemptId, EngineHold)> {
+        let (Some(attempt), Some(granted)) = (self.attempt.take(), &self.held) else {
+            return Vec::new();
+        };
+        let parts = granted.grant.parts.iter().enumerate();
+        parts
+            .filter_map(|(index, part)| {
+                let engine = self.desk.tables.engines.get(&part.endpoint)?;
+                let hold = if index == 0 {
+                    EngineHold::Stream
+                } else {
+                    EngineHold::Memory
+                };
+                Some((engine.address, attempt, hold))
+            })
+            .collect()
+    }
+
+    /// Returns everything that the present grant holds: first what the engines hold, then the
+    /// grant, so that the next holder finds the engines free.
     fn give_back(&mut self) {
-        self.cancel_stream();
-        if let Some(held) = self.held.take() {
+        self.stream = None;
+        let holds = self.take_holds();
+        let Some(held) = self.held.take() else {
+            return;
+        };
+        if holds.is_empty() {
             self.desk.grants.release(&held);
+            return;
         }
+        let grants = self.desk.grants.clone();
+        self.desk.control.post(async move |control| {
+            let first_tries = holds
+                .iter()
+                .map(|(address, attempt, hold)| control.try_disown(*address, *attempt, *hold));
+            let verdicts = join_all(first_tries).await;
+            grants.release(&held);
+            for ((address, attempt, hold), verdict) in holds.into_iter().zip(verdicts) {
+                if verdict == DisownVerdict::NoAnswer {
+                    control.spawn(control.clone().disown(address, attempt, hold));
+                }
+            }
+        });
     }
 
     fn finish(&mut self, outcome: RequestOutcome) -> AnswerPart {
@@ -509,6 +534,15 @@
     Memory,
 }
 
+/// Whether an engine has let go.
+#[derives::tag]
+pub(crate) enum DisownVerdict {
+    /// It has.
+    Done,
+    /// It gave no answer.
+    NoAnswer,
+}
+
 #[derives::tag]
 enum ImportVerdict {
     Done,
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -204,6 +204,9 @@
     }
 
     async fn confirm_by_platform(self: &Rc<Self>) -> FetchVerdict {
+        if self.register().await == FetchVerdict::NoAnswer {
+            return FetchVerdict::NoAnswer;
+        }
         match self.read_changes(0).await {
             Some(_) => FetchVerdict::Fetched,
             None => FetchVerdict::NoAnswer,
@@ -216,6 +219,7 @@
         // change is accepted without it.
         self.join().await;
         self.clone().confirm_configuration().await;
+        self.spawn(self.clone().run_joining());
         self.spawn(self.clone().run_config_reader());
         self.spawn(self.clone().run_list_reader());
         self.spawn(self.clone().run_claim_sweeper());
@@ -227,7 +231,7 @@
             self.tables.timer.after(LIST_PERIOD).wait().await;
             if self.is_reader() {
                 let rows = self.domain_rows().await;
-                self.take_rows(&rows).await;
+                self.take_rows(&rows.unwrap_or_default()).await;
             }
         }
     }
--- a/crates/entry/src/domain_rollout.rs
+++ b/crates/entry/src/domain_rollout.rs
@@ -6,7 +6,7 @@
 use futures::future::join_all;
 use operator::{ChangeReport, ChangeRequest, HistoryRow, OperatorFault};
 use platform::{CasVerdict, InstanceKind, StoredValue};
-use policy::ids::{DomainId, InstanceId, Millis};
+use policy::ids::{DomainId, InstanceId, Millis, OwnerId};
 use policy::member::{MemberStatus, MemberUpdate};
 use policy::rollout::{DomainReport, RolloutVerdict, weigh_rollout};
 use policy::template::ConfigDocument;
@@ -165,7 +165,9 @@
         }
         let mut missing = BTreeSet::new();
         let mut asked = BTreeSet::from([me]);
-        let mut next = self.rollout_targets().await;
+        let listed = self.listed_targets().await;
+        let is_listed = listed.is_some();
+        let mut next = self.rollout_targets(listed.unwrap_or_default());
         while !next.is_empty() {
             asked.extend(next.iter().map(|(instance, _)| instance.clone()));
             let mut found: BTreeMap<InstanceId, String> = BTreeMap::new();
@@ -184,6 +186,9 @@
             next = found.into_iter().collect();
         }
         self.forget_departed(&mut missing);
+        if missing.is_empty() && !is_listed {
+            return DomainReport::Unlisted;
+        }
         DomainReport::Heard { confirmed, missing }
     }
 
@@ -204,32 +209,53 @@
         join_all(calls).await
     }
 
-    /// Everyone who may be live: members that are not known to be dead, and whoever the
-    /// platform's list shows.
-    async fn rollout_targets(&self) -> Vec<(InstanceId, String)> {
-        let rows = self.domain_rows().await;
-        let me = self.tables.me().instance;
-        let mut targets: BTreeMap<InstanceId, String> = rows
+    /// Whoever the platform's list or a registration shows; none where it cannot be asked.
+    ///
+    /// Invariant: an instance registers before it reads the configuration from the platform, and
+    /// registrations are read after the configuration was written. So either the instance reads
+    /// the change or the rollout asks the instance.
+    async fn listed_targets(&self) -> Option<Vec<(OwnerId, String)>> {
+        let (rows, registered) = futures::join!(self.domain_rows(), self.registrations());
+        let rows = rows?.into_iter();
+        let entries = rows.filter(|row| row.kind == InstanceKind::Entry);
+        let mut targets: Vec<(OwnerId, String)> = entries
+            .map(|row| {
+                let owner = OwnerId::new(InstanceId::new(row.name), row.incarnation);
+                (owner, row.address)
+            })
+            .collect();
+        targets.extend(registered?);
+        Some(targets)
+    }
+
+    /// Everyone who may be live: those listed that have not said goodbye, and the members that
+    /// are not known to be dead.
+    fn rollout_targets(&self, listed: Vec<(OwnerId, String)>) -> Vec<(InstanceId, String)> {
+        let listed = listed
             .into_iter()
-            .filter(|row| row.kind == InstanceKind::Entry)
-            .filter(|row| !self.has_left(&InstanceId::new(&row.name)))
-            .map(|row| (InstanceId::new(row.name), row.address))
+            .filter(|(owner, _)| !self.has_left(owner));
+        let mut targets: BTreeMap<InstanceId, String> = listed
+            .map(|(owner, address)| (owner.instance, address))
             .collect();
         targets.extend(self.tables.other_addresses());
-        targets.remove(&me);
+        targets.remove(&self.tables.me().instance);
         targets.into_iter().collect()
     }
 
-    fn has_left(&self, instance: &InstanceId) -> bool {
+    fn has_left(&self, owner: &OwnerId) -> bool {
         let members = self.tables.members.lock();
-        members
-            .member(instance)
-            .is_some_and(|update| update.status == MemberStatus::Left)
+        members.member(&owner.instance).is_some_and(|update| {
+            update.status == MemberStatus::Left && update.owner.incarnation >= owner.incarnation
+        })
     }
 
     /// An instance that said goodbye while it was being asked is not live.
     fn forget_departed(&self, missing: &mut BTreeSet<InstanceId>) {
-        missing.retain(|instance| !self.has_left(instance));
+        let members = self.tables.members.lock();
+        missing.retain(|instance| {
+            let known = members.member(instance);
+            known.is_none_or(|update| update.status != MemberStatus::Left)
+        });
     }
 
     /// Asks again whether a version is in force everywhere.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod operators;
 mod peer_answers;
 mod ports;
+mod registration;
 mod service_calls;
 mod start;
 mod stewardship;
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -40,7 +40,7 @@
         leaving.iter().any(|announcement| {
             announcement.subject == subject
                 && announcement.kind == LeavingKind::Stop
-                && announcement.incarnation >= me.incarnation
+                && announcement.incarnation >= self.tables.born
         })
     }
 }
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -15,6 +15,9 @@
 /// Between two looks at the clock, in milliseconds.
 const TICK: Millis = 100;
 
+/// Between two tries to reach addresses that no present member has, in milliseconds.
+const JOIN_PERIOD: Millis = 5_000;
+
 /// A pause after which others may have declared this instance dead, in milliseconds.
 const REJOIN_PAUSE: Millis = 2_000;
 
@@ -199,7 +202,17 @@
         });
     }
 
-    /// Makes itself known to the addresses from the settings and from the platform's list.
+    /// Makes itself known again and again to those addresses that no present member has, so that
+    /// an instance which found nobody at its start is not left alone.
+    pub(crate) async fn run_joining(self: Rc<Self>) {
+        loop {
+            self.tables.timer.after(JOIN_PERIOD).wait().await;
+            self.join().await;
+        }
+    }
+
+    /// Makes itself known to the addresses from the settings and from the platform's list that
+    /// no present member has.
     pub(crate) async fn join(self: &Rc<Self>) {
         let mut addresses: Vec<String> = self
             .tables
@@ -208,11 +221,15 @@
             .iter()
             .map(ToString::to_string)
             .collect();
-        addresses.extend(self.listed_addresses().await);
+        let present = self.tables.other_addresses();
+        if present.is_empty() {
+            addresses.extend(self.listed_addresses().await);
+        }
         addresses.sort();
         addresses.dedup();
         let own = self.tables.settings.listen.peers.to_string();
         addresses.retain(|address| *address != own);
+        addresses.retain(|address| present.iter().all(|(_, known)| known != address));
         let nobody = policy::ids::InstanceId::new("");
         let probes = addresses.iter().map(|address| {
             let message = self.probe_message(&nobody);
@@ -224,23 +241,23 @@
 
     async fn listed_addresses(&self) -> Vec<String> {
         let rows = self.domain_rows().await;
-        rows.into_iter()
+        rows.unwrap_or_default()
+            .into_iter()
             .filter(|row| row.kind == InstanceKind::Entry)
             .map(|row| row.address)
             .collect()
     }
 
-    /// The platform's list of this failure domain; empty where it cannot be read.
-    pub(crate) async fn domain_rows(&self) -> Vec<ListedInstance> {
+    /// The platform's list of this failure domain; none where it cannot be read.
+    pub(crate) async fn domain_rows(&self) -> Option<Vec<ListedInstance>> {
         self.tables.metrics.platform_calls.inc();
         let Ok(rows) = self.ports.platform.instances().await else {
             self.tables.metrics.platform_faults.inc();
-            return Vec::new();
+            return None;
         };
         let domain = &self.tables.settings.failure_domain;
-        rows.into_iter()
-            .filter(|row| row.failure_domain == *domain)
-            .collect()
+        let here = rows.into_iter().filter(|row| row.failure_domain == *domain);
+        Some(here.collect())
     }
 
     /// Tells the others that this instance stops.
--- a/crates/entry/src/service_calls.rs
+++ b/crates/entry/src/service_calls.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use caller::{CallAnswer, CallRequest};
 use policy::call::{CallEvent, CallFlow, CallStep};
@@ -15,7 +16,7 @@
 use policy::outcome::{Refusal, RefusalReason, RequestOutcome};
 use policy::template::Repeatability;
 use service::{CallFault, ServiceAnswer, ServiceClient};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::completion::BudgetGate;
 use crate::control::ControlHandle;
@@ -152,12 +153,15 @@
             id: claim.id.clone(),
             change: ClaimChange::Take,
         };
-        let left = millis_until(admitted.deadline);
-        let deadline = self.tables.now() + left.min(CLAIM_TIME);
-        let verdict = self
+        let time = millis_until(admitted.deadline).min(CLAIM_TIME);
+        let deadline = self.tables.now() + time;
+        let settling = self
             .control
-            .run(async move |control| control.edit_claim(&place, edit, deadline).await)
-            .await;
+            .run(async move |control| control.edit_claim(&place, edit, deadline).await);
+        // A write that is still on its way may take effect; the claim is then given back.
+        let verdict = timeout(Duration::from_millis(time), settling)
+            .await
+            .unwrap_or(None);
         match verdict {
             Some(Ok(verdict)) if millis_until(admitted.deadline) > 0 => CallEvent::Claim(verdict),
             Some(Ok(_)) => {
--- a/crates/entry/src/stewardship.rs
+++ b/crates/entry/src/stewardship.rs
@@ -8,7 +8,7 @@
 use policy::pool::Reconciliation;
 use policy::steward::steward_of;
 
-use crate::completion::EngineHold;
+use crate::completion::{DisownVerdict, EngineHold};
 use crate::control::Control;
 use crate::grants::drain;
 use crate::tables::StewardRole;
@@ -145,6 +145,24 @@
         }
     }
 
+    /// Has an engine let go of what an attempt holds, once.
+    pub(crate) async fn try_disown(
+        &self,
+        address: SocketAddr,
+        attempt: AttemptId,
+        hold: EngineHold,
+    ) -> DisownVerdict {
+        let engines = &self.ports.engines;
+        let answer = match hold {
+            EngineHold::Stream => engines.cancel(address, attempt).await,
+            EngineHold::Memory => engines.release_memory(address, attempt).await,
+        };
+        match answer {
+            Ok(()) => DisownVerdict::Done,
+            Err(_) => DisownVerdict::NoAnswer,
+        }
+    }
+
     /// Has an engine let go of what an attempt holds, again and again until it has answered.
     pub(crate) async fn disown(
         self: Rc<Self>,
@@ -155,11 +173,7 @@
         let end = self.tables.now() + CANCEL_TIME;
         let (mut pause, longest) = CANCEL_PAUSES;
         while self.tables.now() < end {
-            let answer = match hold {
-                EngineHold::Stream => self.ports.engines.cancel(address, attempt).await,
-                EngineHold::Memory => self.ports.engines.release_memory(address, attempt).await,
-            };
-            if answer.is_ok() {
+            if self.try_disown(address, attempt, hold).await == DisownVerdict::Done {
                 return;
             }
             self.tables.timer.after(pause).wait().await;
--- a/crates/entry/src/tables.rs
+++ b/crates/entry/src/tables.rs
@@ -82,6 +82,8 @@
     pub(crate) timer: TimerService,
     pub(crate) identity: SharedIdentity,
     pub(crate) metrics: EntryMetrics,
+    /// The first incarnation of this process; it takes higher ones when it re-joins.
+    pub(crate) born: Incarnation,
     pub(crate) members: Mutex<MemberTable>,
     pub(crate) leaving: Mutex<LeavingTable>,
     /// Incarnations of endpoints, from the platform's list.
@@ -127,6 +129,7 @@
             (PoolId::new(&pool.name), Mutex::new(desk))
         });
         Self {
+            born: incarnation,
             members: Mutex::new(members),
             leaving: Mutex::new(LeavingTable::new()),
             listed: Mutex::new(HashMap::new()),
--- a/crates/policy/src/pool/place.rs
+++ b/crates/policy/src/pool/place.rs
@@ -48,6 +48,12 @@
     ) -> impl Iterator<Item = &'a EndpointState> {
         let lane = (self.lane_size, self.lane_use);
         let now = self.now;
+        // A prompt that needs several endpoints cannot be choosy about them.
+        let excluded: &[EndpointId] = if self.fits_one(ask.memory_tokens()) {
+            &ask.excluded
+        } else {
+            &[]
+        };
         self.endpoints
             .values()
             .filter(move |state| state.is_open(now))
@@ -59,7 +65,7 @@
                     .is_none_or(|reserved| *reserved != state.spec.id)
             })
             .filter(|state| self.pinned.is_none_or(|pinned| *pinned == state.spec.id))
-            .filter(|state| !ask.excluded.contains(&state.spec.id))
+            .filter(move |state| !excluded.contains(&state.spec.id))
             .filter(|state| state.has_slot(ask.sharing))
     }
 
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -16,6 +16,9 @@
         /// Live or suspected instances without it.
         missing: BTreeSet<InstanceId>,
     },
+    /// Every instance that was known confirmed, but the platform could not be asked whether there
+    /// are others.
+    Unlisted,
     /// No instance of the domain could be reached.
     Unreachable,
 }
@@ -47,7 +50,7 @@
         Some(DomainReport::Heard { confirmed, missing }) => {
             missing.is_empty() && !confirmed.is_empty()
         }
-        Some(DomainReport::Unreachable) | None => false,
+        Some(DomainReport::Unlisted | DomainReport::Unreachable) | None => false,
     };
     let pending: BTreeSet<DomainId> = domains
         .iter()
