Prove the promises by scripts, schedules and planted faults

Cause: each promise needs a proof that can fail. Ports of process tests come from a range below the system's outgoing ones: one run in seven failed because two tests were given one port, so that one test's readiness was answered by the other's instance.

--- /dev/null
+++ b/crates/scenarios/scripts/template_cut_domain.rhai
@@ -0,0 +1,34 @@
+// A failure domain is cut off before, during and after a change.
+world(#{});
+run(3000);
+for one in ["a-0", "a-1", "a-2"] {
+    for other in ["b-0", "b-1", "b-2"] { cut(one, other); }
+    cut(one, "platform");
+}
+set_template("b-0", 100);
+run(6000);
+expect(accepted() == 0, "pending: domain a cannot be heard");
+let served = complete("a-0", #{});
+run(3000);
+expect(outcome(served) == "whole", "the cut domain goes on: " + outcome(served));
+heal();
+run(8000);
+settled();
+set_template("a-0", 101);
+run(1000);
+let before = accepted();
+expect(before > 0, "accepted after healing");
+for one in ["a-0", "a-1", "a-2"] {
+    for other in ["b-0", "b-1", "b-2"] { cut(one, other); }
+    cut(one, "platform");
+}
+run(3000);
+kill("a-1");
+run(1000);
+start("a-1");
+run(5000);
+expect(ready("a-1"), "a restarted instance takes the state from its peers");
+settled();
+heal();
+run(5000);
+settled();
--- /dev/null
+++ b/crates/scenarios/scripts/template_race.rhai
@@ -0,0 +1,12 @@
+// Operators race each other, and a write's answer is lost: versions never go back.
+world(#{});
+run(3000);
+for round in 0..10 {
+    set_template("a-0", 100 + round);
+    set_template("b-2", 200 + round);
+    if round % 3 == 0 { lose_answers(1); }
+    run(800);
+}
+run(8000);
+expect(accepted() > 2, "changes were accepted");
+settled();
--- /dev/null
+++ b/crates/scenarios/scripts/vanished_owner.rhai
@@ -0,0 +1,16 @@
+// The host of an instance goes away without a word: its streams' memory comes back.
+world(#{ domains: ["a"], engines: 2 });
+run(2000);
+for index in 0..4 {
+    complete("a-0", #{ prompt: 10000, answer: 2000, token: 50, timeout: 100000 });
+}
+run(1000);
+expect(memory() > 0, "the engines hold memory");
+vanish("a-0");
+run(2000);
+expect(memory() > 0, "nobody noticed that the connections are dead");
+run(25000);
+expect(memory() == 0, "the steward released the memory, but " + memory() + " tokens");
+start("a-0");
+run(3000);
+settled();
--- a/crates/scenarios/src/clients.rs
+++ b/crates/scenarios/src/clients.rs
@@ -25,7 +25,7 @@
 use crate::gate::{Gated, NodeGate};
 use crate::ledger::{RequestEnd, RequestKind, RequestRecord};
 use crate::node::NodeEnd;
-use crate::world::{API_KEY, MODEL, World, WorldState, end_node, template};
+use crate::world::{API_KEY, MODEL, PlantedFault, World, WorldState, end_node, template};
 
 /// What a completion asks for.
 #[derives::value]
@@ -79,6 +79,7 @@
                 Some((slot.gate.clone(), running.callers.complete(request)))
             });
             match started {
+                Some(_) if self.state.planted == PlantedFault::StalledCaller => {}
                 Some((gate, stream)) => {
                     let state = self.state.clone();
                     tokio::task::spawn_local(read_answer(state, number, gate, stream));
@@ -104,6 +105,10 @@
     }
 
     /// Sends a call that may not be repeated; gives the request's number.
+    ///
+    /// # Panics
+    ///
+    /// When the key is not plain text.
     pub fn call(&self, node: &str, key: &str, timeout_ms: u64) -> usize {
         self.enter(|| {
             let number = self.state.ledger.borrow().requests.len();
@@ -214,8 +219,11 @@
             kind: LeavingKind::Leave,
         };
         let name = subject.to_owned();
+        let asked = &mut self.state.ledger.borrow_mut().asked_to_leave;
+        asked.insert(name.clone());
+        let is_unheard = self.state.planted == PlantedFault::UnheardAnnouncement;
         self.with_operators(node, async move |state, operators| {
-            if operators.announce(form).await.is_ok() {
+            if is_unheard || operators.announce(form).await.is_ok() {
                 let mut ledger = state.ledger.borrow_mut();
                 ledger.announced.entry(name).or_insert_with(Instant::now);
             }
@@ -253,6 +261,10 @@
                 return;
             };
             let (state, name) = (self.state.clone(), node.to_owned());
+            if state.planted == PlantedFault::HastyStop {
+                end_node(&state, &name, NodeEnd::Planned);
+                return;
+            }
             tokio::task::spawn_local(async move {
                 let ending = Gated::new(&gate, async {
                     core.drain().await;
--- a/crates/scenarios/src/engines.rs
+++ b/crates/scenarios/src/engines.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::network::Passage;
-use crate::world::WorldState;
+use crate::world::{PlantedFault, WorldState};
 
 /// A prompt that holds this text crashes the engine that starts it.
 pub(crate) const CRASH_MARK: &str = "[[crash]]";
@@ -162,13 +162,17 @@
     ) -> Result<FrameStream, OpenFault> {
         self.reach(address).await?;
         let body = String::from_utf8_lossy(&order.body).into_owned();
-        self.world.note_started(&body);
         if body.contains(CRASH_MARK) {
+            self.world.note_started(&body);
             self.with(address, |engine| engine.die(RESTART_TIME));
             return Err(OpenFault::Closed);
         }
         let cursor = self.with(address, |engine| admit(engine, order));
         let (life, connection, cut_after) = cursor.ok_or(OpenFault::Refused)?;
+        self.world.note_started(&body);
+        if self.world.planted == PlantedFault::LateRefusal {
+            return Err(OpenFault::Refused);
+        }
         let stream = FakeStream {
             hold: StreamHold {
                 world: self.world.clone(),
@@ -220,7 +224,8 @@
     fn drop(&mut self) {
         let name = self.world.with_engine(self.address, |one| one.name.clone());
         let is_cut = self.world.network.passage(&self.node, &name) == Passage::Cut;
-        if is_cut || self.world.is_vanished(&self.node) {
+        let is_forgetful = self.world.planted == PlantedFault::ForgetfulEngine;
+        if is_cut || is_forgetful || self.world.is_vanished(&self.node) {
             return;
         }
         self.world.with_engine(self.address, |engine| {
@@ -295,13 +300,20 @@
         let text = if is_end {
             String::new()
         } else {
-            token_text(&self.mark, self.next)
+            token_text(self.text_mark(), self.next)
         };
         self.sequence += 1;
         self.next += tokens;
         EngineFrame { head, text }
     }
 
+    fn text_mark(&self) -> &str {
+        if self.hold.world.planted == PlantedFault::MixedText {
+            return "another";
+        }
+        &self.mark
+    }
+
     fn echoed_attempt(&self) -> AttemptId {
         let hold = &self.hold;
         hold.world.with_engine(hold.address, |engine| {
@@ -364,8 +376,11 @@
     }
 
     fn cancel(&self, address: SocketAddr, attempt: AttemptId) -> EngineFuture<'_, ()> {
+        let is_forgetful = self.world.planted == PlantedFault::ForgetfulEngine;
         self.call(address, move |engine| {
-            engine.streams.remove(&attempt);
+            if !is_forgetful {
+                engine.streams.remove(&attempt);
+            }
         })
         .boxed_local()
     }
--- a/crates/scenarios/src/invariants.rs
+++ b/crates/scenarios/src/invariants.rs
@@ -25,11 +25,17 @@
     pub promise: &'static str,
     /// What was seen.
     pub seen: String,
+    /// When, in milliseconds of the world's time.
+    pub at: u64,
 }
 
 impl fmt::Display for Violation {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}: {}", self.promise, self.seen)
+        write!(
+            formatter,
+            "{} at {} ms: {}",
+            self.promise, self.at, self.seen
+        )
     }
 }
 
@@ -38,9 +44,17 @@
     pub(crate) fn check_step(&mut self) {
         let found = self.enter(|| self.find_violations());
         for violation in found {
-            if !self.violations.contains(&violation) {
-                self.violations.push(violation);
-            }
+            self.add_violation(violation);
+        }
+    }
+
+    /// Keeps a violation, the first time that it is seen, with its time.
+    fn add_violation(&mut self, violation: Violation) {
+        let is_known =
+            |known: &Violation| known.promise == violation.promise && known.seen == violation.seen;
+        if !self.violations.iter().any(is_known) {
+            let at = self.enter(|| self.state.identity.elapsed_millis());
+            self.violations.push(Violation { at, ..violation });
         }
     }
 
@@ -115,25 +129,24 @@
         let used = self.used_tokens();
         if used > 0 {
             let seen = format!("{used} tokens of memory are still held");
-            self.violations
-                .push(violation("no engine loses memory for good", seen));
+            self.add_violation(violation("no engine loses memory for good", seen));
         }
         for name in self.node_names() {
-            if !self.is_ready(&name) && !self.has_announced(&name) {
+            if !self.is_ready(&name) && !self.is_asked_to_leave(&name) {
                 let seen = format!("{name} is not ready after healing");
-                self.violations.push(violation("the fleet recovers", seen));
+                self.add_violation(violation("the fleet recovers", seen));
             }
         }
         let versions = self.enter(|| self.served_versions());
         if versions.windows(2).any(|pair| pair[0] != pair[1]) {
             let seen = format!("instances serve versions {versions:?}");
-            self.violations
-                .push(violation("accepted changes are in force", seen));
+            self.add_violation(violation("accepted changes are in force", seen));
         }
     }
 
-    fn has_announced(&self, name: &str) -> bool {
-        self.state.ledger.borrow().announced.contains_key(name)
+    /// An announcement whose answer was lost holds all the same.
+    fn is_asked_to_leave(&self, name: &str) -> bool {
+        self.state.ledger.borrow().asked_to_leave.contains(name)
     }
 
     fn served_versions(&self) -> Vec<u64> {
@@ -193,5 +206,9 @@
 }
 
 fn violation(promise: &'static str, seen: String) -> Violation {
-    Violation { promise, seen }
+    Violation {
+        promise,
+        seen,
+        at: 0,
+    }
 }
--- a/crates/scenarios/src/ledger.rs
+++ b/crates/scenarios/src/ledger.rs
@@ -74,6 +74,8 @@
     pub(crate) accepted: u64,
     /// When a subject was announced to leave, by name.
     pub(crate) announced: BTreeMap<String, Instant>,
+    /// Subjects that an operator wanted announced, whether or not the answer came.
+    pub(crate) asked_to_leave: BTreeSet<String>,
     /// Violations noticed as they happened.
     pub(crate) noticed: Vec<String>,
 }
--- a/crates/scenarios/src/lib.rs
+++ b/crates/scenarios/src/lib.rs
@@ -17,8 +17,9 @@
 mod services;
 mod world;
 
+pub use clients::PromptPlan;
 pub use invariants::Violation;
 pub use ledger::RequestEnd;
-pub use schedule::{ScheduleReport, run_schedule};
+pub use schedule::{ScheduleReport, run_planted_schedule, run_schedule};
 pub use script::run_script;
-pub use world::{World, WorldPlan};
+pub use world::{PlantedFault, World, WorldPlan};
--- a/crates/scenarios/src/network.rs
+++ b/crates/scenarios/src/network.rs
@@ -46,6 +46,7 @@
         self.loss_percent.set(0);
     }
 
+    /// Loses this share of all messages.
     pub(crate) fn set_loss(&self, percent: u32) {
         self.loss_percent.set(percent);
     }
--- a/crates/scenarios/src/peers.rs
+++ b/crates/scenarios/src/peers.rs
@@ -18,7 +18,7 @@
 
 use crate::gate::NodePhase;
 use crate::network::Passage;
-use crate::world::WorldState;
+use crate::world::{PlantedFault, WorldState};
 
 /// Longest wait for an ordinary answer.
 const ANSWER_TIME: Duration = Duration::from_millis(500);
@@ -50,6 +50,20 @@
         }
     }
 
+    /// Confirms documents that the instance at `address` never sees.
+    async fn confirm_emptily(
+        &self,
+        address: &str,
+        documents: &[ConfigDocument],
+    ) -> Result<ApplyReport, PeerFault> {
+        let newest = documents.iter().map(|document| document.version).max();
+        self.exchange(address, ANSWER_TIME, async move |peer| ApplyReport {
+            version: newest.unwrap_or(0),
+            members: peer.apply(&[]).members,
+        })
+        .await
+    }
+
     async fn deliver<T>(
         &self,
         address: &str,
@@ -142,6 +156,9 @@
         address: &'a str,
         documents: &'a [ConfigDocument],
     ) -> PeerAnswer<'a, ApplyReport> {
+        if self.world.planted == PlantedFault::EmptyConfirmation {
+            return self.confirm_emptily(address, documents).boxed_local();
+        }
         self.exchange(address, ANSWER_TIME, async move |peer| {
             peer.apply(documents)
         })
--- a/crates/scenarios/src/platform.rs
+++ b/crates/scenarios/src/platform.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::network::Passage;
-use crate::world::WorldState;
+use crate::world::{PlantedFault, WorldState};
 
 /// Name of the platform's site.
 pub(crate) const PLATFORM: &str = "platform";
@@ -228,7 +228,13 @@
         expected: u64,
         lease: Option<LeaseId>,
     ) -> PlatformFuture<'a, CasVerdict> {
+        let is_careless = self.world.planted == PlantedFault::CarelessSwap;
         self.call(CallKind::Write, move |state| {
+            let expected = if is_careless {
+                state.revision_of(key)
+            } else {
+                expected
+            };
             state.swap(key, value, expected, lease)
         })
         .boxed_local()
--- a/crates/scenarios/src/schedule.rs
+++ b/crates/scenarios/src/schedule.rs
@@ -9,7 +9,7 @@
 use crate::invariants::Violation;
 use crate::ledger::RequestEnd;
 use crate::platform::PLATFORM;
-use crate::world::{World, WorldPlan};
+use crate::world::{PlantedFault, World, WorldPlan};
 
 /// Actions of one schedule.
 const ACTIONS: u32 = 120;
@@ -69,12 +69,19 @@
 /// Runs the schedule of a seed and checks the invariants at every step.
 #[must_use]
 pub fn run_schedule(seed: u64) -> ScheduleReport {
+    run_planted_schedule(seed, PlantedFault::None)
+}
+
+/// Runs the schedule of a seed in a world with a planted fault.
+#[must_use]
+pub fn run_planted_schedule(seed: u64, planted: PlantedFault) -> ScheduleReport {
     let plan = WorldPlan {
         seed,
+        planted,
         ..WorldPlan::default()
     };
     let mut scheduler = Scheduler {
-        world: World::new(plan),
+        world: World::new(&plan),
         rng: SmallRng::seed_from_u64(seed),
         now: 0,
         remedies: Vec::new(),
@@ -120,29 +127,29 @@
         match kind {
             RemedyKind::Start(node) => {
                 self.world.start_node(node);
-                self.note(format!("start {node}"));
+                self.note(&format!("start {node}"));
             }
             RemedyKind::Wake(node) => {
                 self.world.wake(node);
-                self.note(format!("wake {node}"));
+                self.note(&format!("wake {node}"));
             }
             RemedyKind::WakeEngine(engine) => {
                 let state = &self.world.state;
                 state.with_named_engine(engine, |one| one.is_frozen = false);
-                self.note(format!("wake {engine}"));
+                self.note(&format!("wake {engine}"));
             }
             RemedyKind::PlatformUp => {
                 self.world.set_platform_down(false);
-                self.note("platform up".to_owned());
+                self.note("platform up");
             }
             RemedyKind::Heal => {
                 self.world.heal();
-                self.note("heal".to_owned());
+                self.note("heal");
             }
         }
     }
 
-    fn note(&mut self, text: String) {
+    fn note(&mut self, text: &str) {
         self.actions.push(format!("{} ms: {text}", self.now));
     }
 
@@ -175,7 +182,7 @@
             76..88 => self.engine_fault(),
             88..91 => self.service_fault(),
             91..96 => self.change_template(),
-            96..98 => self.announce_engine(),
+            96..98 => self.announce_something(),
             _ => self.send_poison(),
         }
     }
@@ -213,7 +220,7 @@
             prefix: CRASH_MARK.to_owned(),
         };
         self.world.complete(&node, &plan);
-        self.note(format!("poison at {node}"));
+        self.note(&format!("poison at {node}"));
     }
 
     fn send_call(&mut self) {
@@ -240,10 +247,10 @@
         let node = self.pick_node();
         if self.rng.random_range(0..2) == 0 {
             self.world.kill(&node);
-            self.note(format!("kill {node}"));
+            self.note(&format!("kill {node}"));
         } else {
             self.world.vanish(&node);
-            self.note(format!("vanish {node}"));
+            self.note(&format!("vanish {node}"));
         }
         self.later(500..9_000, RemedyKind::Start(node));
     }
@@ -251,14 +258,14 @@
     fn freeze_node(&mut self) {
         let node = self.pick_node();
         self.world.freeze(&node);
-        self.note(format!("freeze {node}"));
+        self.note(&format!("freeze {node}"));
         self.later(200..8_000, RemedyKind::Wake(node));
     }
 
     fn stop_node(&mut self) {
         let node = self.pick_node();
         self.world.stop_node(&node);
-        self.note(format!("stop {node}"));
+        self.note(&format!("stop {node}"));
         self.later(9_000..15_000, RemedyKind::Start(node));
     }
 
@@ -296,18 +303,18 @@
                 self.world.cut(one, other);
             }
         }
-        self.note(format!("cut {ones:?} from {others:?}"));
+        self.note(&format!("cut {ones:?} from {others:?}"));
     }
 
     fn platform_fault(&mut self) {
         if self.rng.random_range(0..2) == 0 {
             self.world.set_platform_down(true);
-            self.note("platform down".to_owned());
+            self.note("platform down");
             self.later(500..12_000, RemedyKind::PlatformUp);
         } else {
             let count = self.rng.random_range(1..4);
             self.world.lose_platform_answers(count);
-            self.note(format!("lose {count} answers"));
+            self.note(&format!("lose {count} answers"));
         }
     }
 
@@ -328,7 +335,7 @@
             4 => self.world.kill_engine(&engine, 2_000),
             _ => {}
         }
-        self.note(format!("fault {fault} of {engine}"));
+        self.note(&format!("fault {fault} of {engine}"));
     }
 
     fn service_fault(&mut self) {
@@ -342,30 +349,33 @@
             let state = &self.world.state;
             state.with_named_service(&name, |service| service.lose_answers = 1);
         }
-        self.note(format!("fault of {name}, outage {is_outage}"));
+        self.note(&format!("fault of {name}, outage {is_outage}"));
     }
 
     fn change_template(&mut self) {
         let node = self.pick_node();
         let tokens = self.rng.random_range(1..1_000);
         self.world.set_template(&node, tokens);
-        self.note(format!("template at {node}"));
+        self.note(&format!("template at {node}"));
         if self.rng.random_range(0..3) == 0 {
             let other = self.pick_node();
             self.world.set_template(&other, tokens + 1);
-            self.note(format!("template at {other} in the same moment"));
+            self.note(&format!("template at {other} in the same moment"));
         }
     }
 
-    fn announce_engine(&mut self) {
+    fn announce_something(&mut self) {
         if self.leaving {
             return;
         }
         self.leaving = true;
-        let engine = self.pick_engine();
-        let domain = engine.split('-').next().unwrap_or("").to_owned();
-        self.world.announce(&format!("{domain}-0"), &engine);
-        self.note(format!("announce {engine}"));
+        let subject = match self.rng.random_range(0..2) {
+            0 => self.pick_engine(),
+            _ => self.pick_node(),
+        };
+        let domain = subject.split('-').next().unwrap_or("").to_owned();
+        self.world.announce(&format!("{domain}-0"), &subject);
+        self.note(&format!("announce {subject}"));
     }
 
     /// Ends every fault and gives the fleet time to settle.
--- a/crates/scenarios/src/script.rs
+++ b/crates/scenarios/src/script.rs
@@ -68,7 +68,7 @@
     let world = shared.clone();
     engine.register_fn("world", move |map: Map| -> ScriptResult<()> {
         let plan = world_plan(&map)?;
-        *world.borrow_mut() = Some(World::new(plan));
+        *world.borrow_mut() = Some(World::new(&plan));
         Ok(())
     });
     let world = shared.clone();
@@ -114,6 +114,7 @@
         slots: size("slots", default.slots)?,
         memory_tokens: number(map, "memory", default.memory_tokens)?,
         seed: number(map, "seed", default.seed)?,
+        planted: default.planted,
     })
 }
 
@@ -155,6 +156,12 @@
         with(&world, |world| world.cut(one, other))
     });
     let world = shared.clone();
+    engine.register_fn("loss", move |percent: i64| {
+        with(&world, |world| {
+            world.set_loss(u32::try_from(percent).unwrap_or(0));
+        })
+    });
+    let world = shared.clone();
     engine.register_fn("heal", move || with(&world, |world| world.heal()));
     let world = shared.clone();
     engine.register_fn("platform_down", move || {
@@ -181,7 +188,7 @@
     let world = shared.clone();
     engine.register_fn("fresh_key", move || with(&world, |world| world.fresh_key()));
     let world = shared.clone();
-    engine.register_fn("call", move |node: &str, key: &str, timeout: i64| {
+    engine.register_fn("order", move |node: &str, key: &str, timeout: i64| {
         let timeout = u64::try_from(timeout).unwrap_or(0);
         with(&world, |world| {
             request_number(world.call(node, key, timeout))
--- a/crates/scenarios/src/world.rs
+++ b/crates/scenarios/src/world.rs
@@ -21,7 +21,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::engines::EngineState;
-use crate::gate::{NodeGate, NodePhase};
+use crate::gate::NodeGate;
 use crate::invariants::Violation;
 use crate::ledger::Ledger;
 use crate::network::FakeNetwork;
@@ -61,6 +61,31 @@
     pub memory_tokens: u64,
     /// Seed of everything random.
     pub seed: u64,
+    /// A fault that breaks a promise, to show that its check notices.
+    pub planted: PlantedFault,
+}
+
+/// Faults of the world itself, one for each promise.
+#[derives::tag]
+pub enum PlantedFault {
+    /// None: the world behaves as its users' does.
+    None,
+    /// The key-value service writes whatever the revision is.
+    CarelessSwap,
+    /// Engines put another request's text under the right head.
+    MixedText,
+    /// Engines refuse streams that they have started.
+    LateRefusal,
+    /// Engines forget to list and to cancel their streams.
+    ForgetfulEngine,
+    /// Instances confirm documents that they have not put in force.
+    EmptyConfirmation,
+    /// Callers' connections stand still.
+    StalledCaller,
+    /// Planned stops kill the process.
+    HastyStop,
+    /// Announcements are confirmed and not heard.
+    UnheardAnnouncement,
 }
 
 impl Default for WorldPlan {
@@ -73,6 +98,7 @@
             slots: 8,
             memory_tokens: 100_000,
             seed: 1,
+            planted: PlantedFault::None,
         }
     }
 }
@@ -83,10 +109,16 @@
     next: AtomicU64,
 }
 
+impl FakeIdentity {
+    /// Milliseconds since the world began.
+    pub(crate) fn elapsed_millis(&self) -> u64 {
+        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
 impl IdentitySource for FakeIdentity {
     fn unix_millis(&self) -> u64 {
-        let elapsed = self.start.elapsed().as_millis();
-        WORLD_START + u64::try_from(elapsed).unwrap_or(u64::MAX)
+        WORLD_START + self.elapsed_millis()
     }
 
     fn unique_id(&self) -> u128 {
@@ -101,6 +133,7 @@
     pub(crate) nodes: RefCell<BTreeMap<String, NodeSlot>>,
     pub(crate) ledger: RefCell<Ledger>,
     pub(crate) identity: Arc<FakeIdentity>,
+    pub(crate) planted: PlantedFault,
     engines: RefCell<BTreeMap<SocketAddr, EngineState>>,
     services: RefCell<BTreeMap<SocketAddr, ServiceState>>,
 }
@@ -226,7 +259,6 @@
     pub(crate) runtime: Runtime,
     pub(crate) local: LocalSet,
     pub(crate) state: Rc<WorldState>,
-    pub(crate) plan: WorldPlan,
     pub(crate) violations: Vec<Violation>,
 }
 
@@ -237,19 +269,18 @@
     ///
     /// When the runtime cannot be built.
     #[must_use]
-    pub fn new(plan: WorldPlan) -> Self {
+    pub fn new(plan: &WorldPlan) -> Self {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_time()
             .start_paused(true)
             .build()
             .expect("a runtime needs nothing from outside");
         let local = LocalSet::new();
-        let state = local.block_on(&runtime, async { build_state(&plan) });
+        let state = local.block_on(&runtime, async { build_state(plan) });
         let world = Self {
             runtime,
             local,
             state,
-            plan,
             violations: Vec::new(),
         };
         for name in world.node_names() {
@@ -285,6 +316,8 @@
             let state = &self.state;
             let is_stopped = state.with_node(name, |slot| slot.running.is_none());
             if is_stopped {
+                // An announcement covers the lives up to the one that was announced.
+                state.ledger.borrow_mut().announced.remove(name);
                 state.with_node(name, |slot| slot.start(&self.state));
             }
         });
@@ -330,6 +363,11 @@
         self.disturb_all();
     }
 
+    /// Loses this many of a hundred messages.
+    pub fn set_loss(&self, percent: u32) {
+        self.state.network.set_loss(percent);
+    }
+
     /// Removes all cuts and losses.
     pub fn heal(&self) {
         self.state.network.heal();
@@ -503,6 +541,7 @@
             start: Instant::now(),
             next: AtomicU64::new(1),
         }),
+        planted: plan.planted,
         engines: RefCell::new(engines),
         services: RefCell::new(services),
     })
@@ -602,10 +641,3 @@
     });
     parse_settings(&form.to_string()).unwrap_or_else(|fault| panic!("the settings: {fault}"))
 }
-
-impl NodeSlot {
-    /// Whether its process is frozen.
-    pub(crate) fn is_frozen(&self) -> bool {
-        self.gate.phase() == NodePhase::Frozen
-    }
-}
--- a/crates/scenarios/tests/support/fleet.rs
+++ b/crates/scenarios/tests/support/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use caller::KeyDigest;
@@ -30,8 +31,9 @@
 
 impl Standin {
     pub fn new(args: &[&str]) -> Self {
+        let listen = free_address().to_string();
         let mut all = args.to_vec();
-        all.extend(["--listen", "127.0.0.1:0"]);
+        all.extend(["--listen", &listen]);
         let (process, address) = TestProcess::with_address(STANDIN, &all);
         Self {
             process,
@@ -402,10 +404,28 @@
     nodes
 }
 
-/// A loopback address whose port was free a moment ago.
+/// First port of the range that tests use; it ends below the range from which the system takes
+/// the ports of outgoing connections.
+const FIRST_PORT: u32 = 10_000;
+
+/// Ports in the range.
+const PORTS: u32 = 20_000;
+
+/// Ports that one test process uses at the most.
+const PORTS_PER_PROCESS: u32 = 250;
+
+/// A loopback address that no other test of this process has been given.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
-    listener.local_addr().expect("the listener has an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let own = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
+        let offset = own.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let port = u16::try_from(FIRST_PORT + offset).expect("the range ends below 65,536");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Writes settings to a file of the test's own.
