Route by read priority, keep engines for the next long prompt and fill in behind it

A long prompt at the head of the queue held up the whole lane while it waited for three engines' memory. Ruled out: the lane's size. Change: the head keeps just the engines that it needs, others run beside it; prompts have four read priorities by length, and an engine's delay counts the work of that priority and higher ones only.

--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -51,9 +51,6 @@
     pub(crate) body: Bytes,
 }
 
-/// Priority of a short prompt's stream at its engine; long ones have zero.
-const SHORT_PRIORITY: u32 = 10;
-
 /// Expected times to first token are exceeded this many times before a stream counts as silent.
 const FIRST_TOKEN_SLACK: u64 = 3;
 
@@ -277,18 +274,15 @@
     fn stream_order(&self, attempt: AttemptId, offset: u64) -> StreamOrder {
         let completion = &self.completion;
         let rule = &completion.rules[self.rule];
-        let lead_tokens = self.held.as_ref().map_or(0, |held| {
-            let lead = held.grant.parts.first();
-            lead.map_or(0, |part| part.tokens)
-        });
-        let is_long = completion.prompt_bytes / BYTES_PER_TOKEN
-            > self.desk.tables.settings.limits.long_tokens;
+        let grant = self.held.as_ref().map(|held| &held.grant);
+        let lead_tokens = grant.map_or(0, |grant| grant.parts[0].tokens);
+        let priority = grant.map_or(0, |grant| grant.priority.level());
         StreamOrder {
             path: completion.kind.path(),
             attempt,
             owner: self.desk.tables.me(),
             offset,
-            priority: if is_long { 0 } else { SHORT_PRIORITY },
+            priority: u32::try_from(priority).unwrap_or(0),
             model: rule.target().to_owned(),
             adapter: rule.adapter.clone(),
             version: rule.version.clone(),
--- a/crates/peer-schema/schema/peer.capnp
+++ b/crates/peer-schema/schema/peer.capnp
@@ -63,6 +63,7 @@
       id @0 :UInt64;
       parts @1 :List(Part);
       firstToken @2 :UInt64;
+      priority @5 :UInt8;
     }
     refused :group {
       reason @3 :Text;
--- a/crates/peer-schema/src/peer_capnp.rs
+++ b/crates/peer-schema/src/peer_capnp.rs
@@ -2878,6 +2878,7 @@
             self.builder.set_data_field::<u64>(0, 0u64);
             self.builder.reborrow().get_pointer_field(0).clear();
             self.builder.set_data_field::<u64>(1, 0u64);
+            self.builder.set_data_field::<u8>(18, 0u8);
             self.builder.into()
         }
         #[inline]
@@ -3113,6 +3114,10 @@
             pub fn get_first_token(self) -> u64 {
                 self.reader.get_data_field::<u64>(1)
             }
+            #[inline]
+            pub fn get_priority(self) -> u8 {
+                self.reader.get_data_field::<u8>(18)
+            }
         }
 
         pub struct Builder<'a> {
@@ -3260,6 +3265,14 @@
             pub fn set_first_token(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(1, value);
             }
+            #[inline]
+            pub fn get_priority(self) -> u8 {
+                self.builder.get_data_field::<u8>(18)
+            }
+            #[inline]
+            pub fn set_priority(&mut self, value: u8) {
+                self.builder.set_data_field::<u8>(18, value);
+            }
         }
 
         pub struct Pipeline {
@@ -3274,7 +3287,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 83] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(76, 53, 243, 150, 231, 0, 231, 131),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 3, 0),
@@ -3284,35 +3297,42 @@
                 ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 101, 99, 105, 115),
                 ::capnp::word(105, 111, 110, 46, 103, 114, 97, 110),
                 ::capnp::word(116, 101, 100, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 26, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 26, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(93, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(121, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 18, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3342,12 +3362,22 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 114, 105, 111, 114, 105, 116, 121),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::struct_list::Owned<crate::peer_capnp::part::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3366,9 +3396,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1, 3];
             pub(crate) const TYPE_ID: u64 = 0x83e7_00e7_96f3_354c;
         }
     }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -6,7 +6,7 @@
 use policy::member::{MemberStatus, MemberUpdate};
 use policy::outcome::{Refusal, RefusalReason};
 use policy::poison::Fingerprint;
-use policy::pool::{Grant, GrantAsk, GrantDecision, GrantId, GrantPart, Sharing};
+use policy::pool::{Grant, GrantAsk, GrantDecision, GrantId, GrantPart, ReadPriority, Sharing};
 use policy::prefix::{PrefixHash, PromptPrefix};
 
 use crate::handler::PeerDigest;
@@ -163,6 +163,7 @@
             let mut form = form.init_granted();
             form.set_id(grant.id.0);
             form.set_first_token(grant.expected_first_token);
+            form.set_priority(u8::try_from(grant.priority.level()).unwrap_or(0));
             let length = list_length(grant.parts.len())?;
             let mut parts = form.init_parts(length);
             for (index, part) in (0..length).zip(&grant.parts) {
@@ -204,6 +205,7 @@
                 request: ask.request,
                 owner: ask.owner.clone(),
                 parts,
+                priority: ReadPriority::with_level(usize::from(form.get_priority())),
                 expected_first_token: form.get_first_token(),
             }))
         }
--- a/crates/policy/src/pool/ask.rs
+++ b/crates/policy/src/pool/ask.rs
@@ -22,6 +22,49 @@
     Long,
 }
 
+/// How soon an engine reads a prompt; higher ones go first, so that a prompt waits only for those
+/// that are about as short or shorter.
+#[derives::tag]
+pub struct ReadPriority(usize);
+
+/// Number of priorities.
+pub(super) const READ_PRIORITIES: usize = 4;
+
+/// Each priority's prompts are this many times as long as the next higher one's.
+const PRIORITY_FACTOR: u64 = 4;
+
+impl ReadPriority {
+    /// The priority of a prompt where those up to `long_tokens` are short.
+    #[must_use]
+    pub fn new(prompt_tokens: u64, long_tokens: u64) -> Self {
+        let mut bound = long_tokens;
+        let mut level = READ_PRIORITIES - 1;
+        while level > 0 && prompt_tokens > bound {
+            bound = bound.saturating_mul(PRIORITY_FACTOR);
+            level -= 1;
+        }
+        Self(level)
+    }
+
+    /// The priority of this level, or the highest there is.
+    #[must_use]
+    pub fn with_level(level: usize) -> Self {
+        Self(level.min(READ_PRIORITIES - 1))
+    }
+
+    /// One level higher, for a prompt that has waited long.
+    #[must_use]
+    pub fn raised(self) -> Self {
+        Self((self.0 + 1).min(READ_PRIORITIES - 1))
+    }
+
+    /// The priority as engines take it.
+    #[must_use]
+    pub fn level(self) -> usize {
+        self.0
+    }
+}
+
 /// Whether a request may run beside others.
 #[derives::tag]
 pub enum Sharing {
@@ -97,6 +140,8 @@
     pub owner: OwnerId,
     /// The lead endpoint first; more than one where the prompt needs more memory than one has.
     pub parts: Vec<GrantPart>,
+    /// The priority with which the lead endpoint is to read the prompt.
+    pub priority: ReadPriority,
     /// Milliseconds until the first token is expected.
     pub expected_first_token: Millis,
 }
--- a/crates/policy/src/pool/endpoint.rs
+++ b/crates/policy/src/pool/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::ask::{GrantAsk, GrantId, GrantPart, Sharing, WorkClass};
+use super::ask::{GrantAsk, GrantId, GrantPart, READ_PRIORITIES, ReadPriority, Sharing, WorkClass};
 use crate::ids::{EndpointId, Millis, OwnerId, RequestId};
 use crate::poison::Fingerprint;
 
@@ -71,8 +71,8 @@
     pub(super) grants: BTreeMap<GrantId, RunningGrant>,
     used_tokens: u64,
     long_grants: usize,
-    short_busy_until: Millis,
-    all_busy_until: Millis,
+    /// By priority: when the prompts of that priority and higher ones will have been read.
+    busy_until: [Millis; READ_PRIORITIES],
 }
 
 impl EndpointState {
@@ -83,8 +83,7 @@
             grants: BTreeMap::new(),
             used_tokens: 0,
             long_grants: 0,
-            short_busy_until: 0,
-            all_busy_until: 0,
+            busy_until: [0; READ_PRIORITIES],
         }
     }
 
@@ -142,16 +141,10 @@
         first.is_some_and(|grant| grant.sharing == Sharing::Alone)
     }
 
-    /// Milliseconds until the endpoint would start to read a new prompt of `class`.
-    ///
-    /// Engines honour priorities and short requests have the higher one, so that they wait only
-    /// for other short ones.
-    pub(super) fn start_delay(&self, class: WorkClass, now: Millis) -> Millis {
-        let busy_until = match class {
-            WorkClass::Short => self.short_busy_until,
-            WorkClass::Long => self.all_busy_until,
-        };
-        busy_until.saturating_sub(now)
+    /// Milliseconds until the endpoint would start to read a new prompt: engines honour
+    /// priorities, so that it waits for its own and higher ones only.
+    pub(super) fn start_delay(&self, priority: ReadPriority, now: Millis) -> Millis {
+        self.busy_until[priority.level()].saturating_sub(now)
     }
 
     pub(super) fn add(&mut self, id: GrantId, grant: RunningGrant) {
@@ -163,10 +156,9 @@
     }
 
     /// Counts the prompt work of a grant that leads here.
-    pub(super) fn add_prefill(&mut self, class: WorkClass, work: Millis, now: Millis) {
-        self.all_busy_until = self.all_busy_until.max(now) + work;
-        if class == WorkClass::Short {
-            self.short_busy_until = self.short_busy_until.max(now) + work;
+    pub(super) fn add_prefill(&mut self, priority: ReadPriority, work: Millis, now: Millis) {
+        for busy in &mut self.busy_until[..=priority.level()] {
+            *busy = (*busy).max(now) + work;
         }
     }
 
@@ -177,8 +169,7 @@
             self.long_grants -= 1;
         }
         if self.grants.is_empty() {
-            self.short_busy_until = 0;
-            self.all_busy_until = 0;
+            self.busy_until = [0; READ_PRIORITIES];
         }
         Some(grant)
     }
--- a/crates/policy/src/pool/lane.rs
+++ b/crates/policy/src/pool/lane.rs
@@ -12,14 +12,6 @@
         /// Milliseconds of long work for one endpoint.
         backlog: Millis,
     },
-    /// Grows above `grow` and shrinks below `shrink` milliseconds of outstanding long work an
-    /// endpoint: separate activation and deactivation thresholds.
-    Hysteresis {
-        /// Above this the lane grows by one.
-        grow: Millis,
-        /// Below this the lane shrinks by one.
-        shrink: Millis,
-    },
 }
 
 /// The lane's present size and bounds.
@@ -38,7 +30,7 @@
         let largest = largest.max(smallest);
         let size = match policy {
             LanePolicy::Fixed(size) => size.clamp(smallest, largest),
-            LanePolicy::Threshold { .. } | LanePolicy::Hysteresis { .. } => smallest,
+            LanePolicy::Threshold { .. } => smallest,
         };
         Self {
             policy,
@@ -57,17 +49,11 @@
     /// Follows the outstanding long work, in milliseconds of one endpoint's prefill; the lane has
     /// at least the `needed` endpoints that the next waiting prompt is spread over.
     pub fn follow(&mut self, work: Millis, needed: usize) {
-        let size = u64::try_from(self.size).unwrap_or(u64::MAX).max(1);
         let wanted = match self.policy {
             LanePolicy::Fixed(size) => size,
             LanePolicy::Threshold { backlog } => {
                 usize::try_from(work.div_ceil(backlog.max(1))).unwrap_or(usize::MAX)
             }
-            LanePolicy::Hysteresis { grow, .. } if work / size > grow => self.size + 1,
-            LanePolicy::Hysteresis { shrink, .. } if work / size < shrink => {
-                self.size.saturating_sub(1)
-            }
-            LanePolicy::Hysteresis { .. } => self.size,
         };
         self.size = wanted.clamp(self.smallest, self.largest).max(needed);
     }
--- a/crates/policy/src/pool/mod.rs
+++ b/crates/policy/src/pool/mod.rs
@@ -15,7 +15,8 @@
 mod table;
 
 pub use ask::{
-    Grant, GrantAsk, GrantDecision, GrantId, GrantPart, OwnerVerdict, Sharing, TicketId, WorkClass,
+    Grant, GrantAsk, GrantDecision, GrantId, GrantPart, OwnerVerdict, ReadPriority, Sharing,
+    TicketId, WorkClass,
 };
 pub use endpoint::{EndpointSpec, EndpointState, RunningGrant};
 pub use health::{CacheChange, ORPHAN_GRACE, UNLISTED_GRACE};
--- a/crates/policy/src/pool/place.rs
+++ b/crates/policy/src/pool/place.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::ask::{GrantAsk, GrantPart, Sharing, WorkClass};
+use super::ask::{GrantAsk, GrantPart, ReadPriority, Sharing, WorkClass};
 use super::endpoint::EndpointState;
 use crate::ids::{EndpointId, Millis};
 use crate::prefix::PrefixIndex;
@@ -23,10 +23,10 @@
     pub(super) endpoints: &'a BTreeMap<EndpointId, EndpointState>,
     pub(super) prefixes: &'a PrefixIndex,
     pub(super) lane_size: usize,
-    pub(super) lane_use: LaneUse,
     pub(super) largest_span: usize,
-    /// An endpoint that is kept free for a request that runs alone.
-    pub(super) reserved: Option<&'a EndpointId>,
+    pub(super) priority: ReadPriority,
+    /// Endpoints that are kept free for a request that waits for them.
+    pub(super) reserved: Vec<&'a EndpointId>,
     /// The endpoint on which the same content runs now.
     pub(super) pinned: Option<&'a EndpointId>,
     pub(super) now: Millis,
@@ -46,7 +46,7 @@
         ask: &'a GrantAsk,
         class: WorkClass,
     ) -> impl Iterator<Item = &'a EndpointState> {
-        let lane = (self.lane_size, self.lane_use);
+        let lane_size = self.lane_size;
         let now = self.now;
         // A prompt that needs several endpoints cannot be choosy about them.
         let excluded: &[EndpointId] = if self.fits_one(ask.memory_tokens()) {
@@ -58,12 +58,9 @@
             .values()
             .filter(move |state| state.is_open(now))
             .enumerate()
-            .filter(move |(index, state)| is_allowed(*index, state, class, lane))
+            .filter(move |(index, state)| is_allowed(*index, state, class, lane_size))
             .map(|(_, state)| state)
-            .filter(|state| {
-                self.reserved
-                    .is_none_or(|reserved| *reserved != state.spec.id)
-            })
+            .filter(|state| !self.reserved.contains(&&state.spec.id))
             .filter(|state| self.pinned.is_none_or(|pinned| *pinned == state.spec.id))
             .filter(move |state| !excluded.contains(&state.spec.id))
             .filter(|state| state.has_slot(ask.sharing))
@@ -76,7 +73,7 @@
             .filter(|state| state.free_tokens() >= tokens)
             .map(|state| {
                 let prefill = self.prefill(ask, state);
-                let first_token = state.start_delay(class, self.now) + prefill;
+                let first_token = state.start_delay(self.priority, self.now) + prefill;
                 (first_token, state.running(), prefill, state)
             })
             .min_by_key(|(first_token, running, _, _)| (*first_token, *running))?;
@@ -106,7 +103,7 @@
         }
         let lead = *states.first()?;
         let prefill = self.prefill(ask, lead);
-        let first_token = lead.start_delay(class, self.now) + prefill;
+        let first_token = lead.start_delay(self.priority, self.now) + prefill;
         Some(Placement {
             parts: split(tokens, &states),
             prefill,
@@ -114,6 +111,28 @@
         })
     }
 
+    /// The endpoints that will be free for `ask` soonest: those of the lane with the most free
+    /// memory, as many as its tokens need.
+    pub(super) fn reserve(&self, ask: &GrantAsk) -> Vec<EndpointId> {
+        let lane = self
+            .endpoints
+            .values()
+            .filter(|state| state.is_open(self.now));
+        let mut lane: Vec<&EndpointState> = lane.take(self.lane_size).collect();
+        lane.sort_by_key(|state| std::cmp::Reverse(state.free_tokens()));
+        let tokens = ask.memory_tokens();
+        let mut reach = 0;
+        lane.into_iter()
+            .take(self.largest_span)
+            .take_while(|state| {
+                let is_needed = reach < tokens;
+                reach += state.spec.memory_tokens;
+                is_needed
+            })
+            .map(|state| state.spec.id.clone())
+            .collect()
+    }
+
     fn fits_one(&self, tokens: u64) -> bool {
         self.endpoints
             .values()
@@ -127,31 +146,14 @@
     }
 }
 
-/// Longs run in the lane only. Shorts keep out of endpoints that run a long, and out of the whole
-/// lane while a long waits for memory there.
-fn is_allowed(
-    index: usize,
-    state: &EndpointState,
-    class: WorkClass,
-    (lane_size, lane_use): (usize, LaneUse),
-) -> bool {
-    let is_in_lane = index < lane_size;
+/// Longs run in the lane only; shorts keep out of endpoints that run a long.
+fn is_allowed(index: usize, state: &EndpointState, class: WorkClass, lane_size: usize) -> bool {
     match class {
-        WorkClass::Long => is_in_lane,
-        WorkClass::Short if is_in_lane && lane_use == LaneUse::LongOnly => false,
+        WorkClass::Long => index < lane_size,
         WorkClass::Short => state.long_grants() == 0,
     }
 }
 
-/// Who may use the endpoints of the long lane.
-#[derives::tag]
-pub(super) enum LaneUse {
-    /// Shorts may, where no long runs.
-    Shared,
-    /// Longs wait for them.
-    LongOnly,
-}
-
 fn split(tokens: u64, states: &[&EndpointState]) -> Vec<GrantPart> {
     let mut left = tokens;
     let mut parts = Vec::new();
--- a/crates/policy/src/pool/queue.rs
+++ b/crates/policy/src/pool/queue.rs
@@ -121,6 +121,33 @@
         Some(waiting)
     }
 
+    /// The first asks after the head, at most `limit`, in the order of the round.
+    #[must_use]
+    pub fn followers(&self, limit: usize) -> Vec<Waiting> {
+        let accounts = self.rounds.iter();
+        let lines = accounts.filter_map(|account| self.lines.get(account));
+        let waiting = lines.flat_map(|line| line.waiting.iter());
+        waiting.skip(1).take(limit).cloned().collect()
+    }
+
+    /// Takes an ask out of its turn; its account pays for it all the same.
+    pub fn take(&mut self, account: &AccountId, ticket: TicketId) -> Option<Waiting> {
+        let line = self.lines.get_mut(account)?;
+        let mut places = line.waiting.iter();
+        let place = places.position(|waiting| waiting.ticket == ticket)?;
+        let waiting = line.waiting.remove(place)?;
+        let cost = waiting.cost();
+        line.deficit = line.deficit.saturating_sub(cost);
+        line.queued_tokens -= cost;
+        self.queued_tokens -= cost;
+        self.length -= 1;
+        if line.waiting.is_empty() {
+            self.lines.remove(account);
+            self.rounds.retain(|one| one != account);
+        }
+        Some(waiting)
+    }
+
     /// Turns the round to an account that can pay for its first ask.
     fn turn_to_payable(&mut self) {
         while let Some(account) = self.rounds.front() {
--- a/crates/policy/src/pool/table.rs
+++ b/crates/policy/src/pool/table.rs
@@ -4,11 +4,11 @@
 
 use super::alone::AloneQueue;
 use super::ask::{
-    Grant, GrantAsk, GrantDecision, GrantId, GrantPart, Sharing, TicketId, WorkClass,
+    Grant, GrantAsk, GrantDecision, GrantId, GrantPart, ReadPriority, Sharing, TicketId, WorkClass,
 };
 use super::endpoint::{EndpointHealth, EndpointSpec, EndpointState, hold_of};
 use super::lane::{LanePolicy, LongLane};
-use super::place::{LaneUse, PlaceView, Placement};
+use super::place::{PlaceView, Placement};
 use super::queue::{FairQueue, Waiting};
 use crate::ids::{AttemptId, EndpointId, Millis};
 use crate::outcome::{Refusal, RefusalReason};
@@ -72,6 +72,9 @@
 /// A short wait before a caller may try again, in milliseconds.
 const RETRY_SOON: Millis = 1_000;
 
+/// Long requests behind the head that are looked at for endpoints that it does not wait for.
+const BACKFILL_ASKS: usize = 64;
+
 /// Weight of the newest sample in the mean time for which a slot is held, as one in this many.
 const HOLD_SAMPLES: u64 = 16;
 
@@ -91,6 +94,8 @@
     short_queue: FairQueue,
     long_queue: FairQueue,
     alone: AloneQueue,
+    /// Endpoints kept free for the long request whose turn it is.
+    kept: Option<(TicketId, Vec<EndpointId>)>,
     lane: LongLane,
     pub(super) prefixes: PrefixIndex,
     mean_hold: Millis,
@@ -114,6 +119,7 @@
             short_queue: FairQueue::new(),
             long_queue: FairQueue::new(),
             alone: AloneQueue::new(),
+            kept: None,
             lane,
             prefixes,
             mean_hold: 0,
@@ -192,9 +198,9 @@
         if ask.sharing == Sharing::Alone {
             return GrantDecision::Queued(self.enqueue_alone(ask, now));
         }
-        if self.queue(class).is_empty()
-            && let Some(placement) = self.view(&ask, now).place(&ask, class)
-        {
+        // What waits has been looked at already: whoever fits beside it runs at once.
+        let is_next = class == WorkClass::Long || self.queue(class).is_empty();
+        if is_next && let Some(placement) = self.view(&ask, now).place(&ask, class) {
             if placement.first_token > ask.time_left {
                 return refused(RefusalReason::DeadlineTooShort, RETRY_SOON);
             }
@@ -237,6 +243,7 @@
     pub fn drain(&mut self, now: Millis) -> Vec<(TicketId, GrantDecision)> {
         let mut decided = self.drop_overdue(now);
         self.follow_lane();
+        self.forget_kept();
         self.drain_alone(now, &mut decided);
         for class in [WorkClass::Short, WorkClass::Long] {
             self.drain_class(class, now, &mut decided);
@@ -244,6 +251,16 @@
         decided
     }
 
+    /// Frees the kept endpoints once their request has gone.
+    fn forget_kept(&mut self) {
+        let head = self.long_queue.head().map(|waiting| waiting.ticket);
+        if let Some((ticket, _)) = &self.kept
+            && head != Some(*ticket)
+        {
+            self.kept = None;
+        }
+    }
+
     /// Keeps one endpoint free until it is empty, then runs one request on it.
     fn drain_alone(&mut self, now: Millis, decided: &mut Vec<(TicketId, GrantDecision)>) {
         self.alone.reserve(&self.endpoints, now);
@@ -263,8 +280,6 @@
         decided.push((waiting.ticket, GrantDecision::Granted(grant)));
     }
 
-    /// Serves the queue in its own order; the head is not overtaken, so that a prompt which needs
-    /// much memory gets it in the end.
     fn drain_class(
         &mut self,
         class: WorkClass,
@@ -272,10 +287,62 @@
         decided: &mut Vec<(TicketId, GrantDecision)>,
     ) {
         while let Some(waiting) = self.queue(class).head().cloned() {
-            let Some(placement) = self.view(&waiting.ask, now).place(&waiting.ask, class) else {
+            let Some(placement) = self.place(&waiting, class, now) else {
+                self.keep_for(&waiting, class, now);
+                self.backfill(class, now, decided);
                 return;
             };
             self.queue(class).pop();
+            let mut grant = self.grant(&waiting.ask, class, placement, now);
+            if now.saturating_sub(waiting.since) >= self.limits.long_wait / 2 {
+                grant.priority = grant.priority.raised();
+            }
+            decided.push((waiting.ticket, GrantDecision::Granted(grant)));
+        }
+    }
+
+    fn priority(&self, ask: &GrantAsk) -> ReadPriority {
+        ReadPriority::new(ask.prompt_tokens, self.limits.long_tokens)
+    }
+
+    fn place(&self, waiting: &Waiting, class: WorkClass, now: Millis) -> Option<Placement> {
+        let mut view = self.view(&waiting.ask, now);
+        if let Some((ticket, kept)) = &self.kept
+            && *ticket == waiting.ticket
+        {
+            view.reserved.retain(|endpoint| !kept.contains(endpoint));
+        }
+        view.place(&waiting.ask, class)
+    }
+
+    /// Keeps endpoints free for the long request whose turn it is, so that one which needs much
+    /// memory gets it in the end.
+    fn keep_for(&mut self, waiting: &Waiting, class: WorkClass, now: Millis) {
+        let is_kept = self
+            .kept
+            .as_ref()
+            .is_some_and(|(ticket, _)| *ticket == waiting.ticket);
+        if class == WorkClass::Long && !is_kept {
+            let endpoints = self.view(&waiting.ask, now).reserve(&waiting.ask);
+            self.kept = Some((waiting.ticket, endpoints));
+        }
+    }
+
+    /// Runs requests behind the head on endpoints that the head does not wait for.
+    fn backfill(
+        &mut self,
+        class: WorkClass,
+        now: Millis,
+        decided: &mut Vec<(TicketId, GrantDecision)>,
+    ) {
+        if class == WorkClass::Short {
+            return;
+        }
+        for waiting in self.long_queue.followers(BACKFILL_ASKS) {
+            let Some(placement) = self.place(&waiting, class, now) else {
+                continue;
+            };
+            self.long_queue.take(&waiting.ask.account, waiting.ticket);
             let grant = self.grant(&waiting.ask, class, placement, now);
             decided.push((waiting.ticket, GrantDecision::Granted(grant)));
         }
@@ -427,12 +494,13 @@
         now: Millis,
     ) -> Grant {
         let id = GrantId(self.take_id());
+        let priority = self.priority(ask);
         for part in &placement.parts {
             self.hold_part(id, ask, part, class, now);
         }
         let lead = placement.parts[0].endpoint.clone();
         if let Some(state) = self.endpoints.get_mut(&lead) {
-            state.add_prefill(class, placement.prefill, now);
+            state.add_prefill(priority, placement.prefill, now);
         }
         self.prints
             .entry(ask.fingerprint)
@@ -453,6 +521,7 @@
             request: ask.request,
             owner: ask.owner.clone(),
             parts: placement.parts,
+            priority,
             expected_first_token: placement.first_token,
         }
     }
@@ -502,17 +571,14 @@
 
     fn view(&self, ask: &GrantAsk, now: Millis) -> PlaceView<'_> {
         let pinned = self.prints.get(&ask.fingerprint);
+        let kept = self.kept.iter().flat_map(|(_, endpoints)| endpoints);
         PlaceView {
-            reserved: self.alone.reserved(),
+            priority: self.priority(ask),
+            reserved: self.alone.reserved().into_iter().chain(kept).collect(),
             pinned: pinned.map(|(endpoint, _)| endpoint),
             endpoints: &self.endpoints,
             prefixes: &self.prefixes,
             lane_size: self.lane.size(),
-            lane_use: if self.long_queue.is_empty() {
-                LaneUse::Shared
-            } else {
-                LaneUse::LongOnly
-            },
             largest_span: self.limits.largest_span,
             now,
         }
