--- /dev/null
+++ b/crates/measure/src/fleet.rs
@@ -0,0 +1,110 @@
+//! The whole composition on virtual time: changes of configuration and claims.
+
+use scenarios::{World, WorldPlan};
+use serde::Serialize;
+
+/// Changes of configuration in a fleet of this size.
+#[derive(Debug, Serialize)]
+pub(crate) struct ChangeRow {
+    domains: usize,
+    nodes_per_domain: usize,
+    changes: usize,
+    /// Milliseconds from request to accepted: median and largest.
+    accepted_ms: [u64; 2],
+    platform_calls_per_change: u64,
+    /// Platform calls of the idle fleet in ten seconds.
+    idle_calls_in_10_s: u64,
+}
+
+/// Claims that come side by side.
+#[derive(Debug, Serialize)]
+pub(crate) struct ClaimRow {
+    calls: usize,
+    /// Calls that arrive in each millisecond.
+    per_ms: usize,
+    platform_calls_per_call: f64,
+}
+
+const CHANGES: usize = 20;
+const STEP: u64 = 2;
+const LONGEST: u64 = 10_000;
+
+pub(crate) fn changes() -> Vec<ChangeRow> {
+    [(3, 3), (2, 9), (8, 9), (8, 49)]
+        .into_iter()
+        .map(|(domains, nodes)| change_row(domains, nodes))
+        .collect()
+}
+
+fn change_row(domains: usize, nodes: usize) -> ChangeRow {
+    let names: Vec<String> = (0..domains).map(|number| format!("d{number}")).collect();
+    let plan = WorldPlan {
+        domains: names,
+        nodes,
+        engines: 1,
+        services: 1,
+        ..WorldPlan::default()
+    };
+    let mut world = World::new(&plan);
+    world.run(8_000);
+    let before = world.platform_calls();
+    world.run(10_000);
+    let idle = world.platform_calls() - before;
+    let mut times = Vec::new();
+    let before = world.platform_calls();
+    let mut elapsed = 0;
+    for number in 0..CHANGES {
+        let node = format!("d{}-{}", number % domains, number % nodes);
+        let present = world.accepted_version();
+        world.set_template(&node, number as u64 + 1);
+        let mut waited = 0;
+        while world.accepted_version() == present && waited < LONGEST {
+            world.run(STEP);
+            waited += STEP;
+        }
+        elapsed += waited;
+        times.push(waited);
+    }
+    let calls = world.platform_calls() - before;
+    let background = idle * elapsed / 10_000;
+    times.sort_unstable();
+    ChangeRow {
+        domains,
+        nodes_per_domain: nodes,
+        changes: CHANGES,
+        accepted_ms: [times[times.len() / 2], times[times.len() - 1]],
+        platform_calls_per_change: calls.saturating_sub(background) / CHANGES as u64,
+        idle_calls_in_10_s: idle,
+    }
+}
+
+pub(crate) fn claims() -> Vec<ClaimRow> {
+    [1, 4, 16].into_iter().map(claim_row).collect()
+}
+
+fn claim_row(per_ms: usize) -> ClaimRow {
+    let plan = WorldPlan {
+        domains: vec!["a".to_owned()],
+        nodes: 3,
+        ..WorldPlan::default()
+    };
+    let mut world = World::new(&plan);
+    world.run(5_000);
+    let before = world.platform_calls();
+    let calls = 100 * per_ms;
+    for number in 0..calls {
+        let key = world.fresh_key();
+        world.call(&format!("a-{}", number % 3), &key, 5_000);
+        if number % per_ms == per_ms - 1 {
+            world.run(1);
+        }
+    }
+    world.run(3_000);
+    let used = world.platform_calls() - before;
+    let each = crate::workload::as_float(used) / crate::workload::as_float(calls as u64);
+    ClaimRow {
+        calls,
+        per_ms,
+        platform_calls_per_call: each,
+    }
+}
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,11 +1,19 @@
 //! Measurements of the decisions.
 
+mod costs;
 mod engine_model;
+mod fleet;
+mod membership;
+mod processes;
 mod routers;
 mod routing;
 mod workload;
 
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
 use clap::{Parser, Subcommand};
+use serde_json::json;
 
 /// Measures the decisions on virtual time and their cost on this machine.
 #[derive(Debug, Parser)]
@@ -19,10 +27,63 @@
 enum MeasureCommand {
     /// Routing against round robin and least outstanding, on virtual time.
     Routing(routing::RoutingArgs),
+    /// Every slope that the capacity page needs, as one JSON file.
+    Slopes {
+        /// The file to write.
+        #[arg(long)]
+        out: PathBuf,
+        /// The commit that is measured.
+        #[arg(long)]
+        commit: String,
+    },
 }
 
-fn main() -> anyhow::Result<()> {
-    match MeasureArgs::parse().measure {
+#[ntex::main]
+async fn main() -> ExitCode {
+    let result = match MeasureArgs::parse().measure {
         MeasureCommand::Routing(args) => routing::run(&args),
+        MeasureCommand::Slopes { out, commit } => slopes(&out, &commit).await,
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}");
+            // The stand-ins' servers run on; the process ends with them.
+            std::process::exit(1);
+        }
     }
 }
+
+async fn slopes(out: &Path, commit: &str) -> anyhow::Result<()> {
+    let program = std::env::current_exe()?.with_file_name("jackdawpoint-entry");
+    let virtual_time = std::thread::spawn(|| {
+        json!({
+            "decisions": costs::decisions(),
+            "memory": costs::memory(),
+            "membership": membership::measure(),
+            "changes": fleet::changes(),
+            "claims": fleet::claims(),
+        })
+    });
+    let virtual_time = virtual_time
+        .join()
+        .map_err(|_| anyhow::anyhow!("a measurement failed"))?;
+    let latency = processes::latency(&program).await?;
+    eprintln!("latency {latency:?}");
+    let idle = processes::idle(&program).await?;
+    eprintln!("idle {idle:?}");
+    let figures = json!({
+        "commit": commit,
+        "settings": "defaults of the settings, limits and member table",
+        "virtual_time": virtual_time,
+        "latency": latency,
+        "idle": idle,
+        "routing": routing::all()?,
+    });
+    std::fs::write(
+        out,
+        format!("{}\n", serde_json::to_string_pretty(&figures)?),
+    )?;
+    println!("wrote {}", out.display());
+    Ok(())
+}
--- a/crates/measure/src/routing.rs
+++ b/crates/measure/src/routing.rs
@@ -300,6 +300,28 @@
     Ok(())
 }
 
+/// Both sizes of pool at the loads that the capacity page names.
+pub(crate) fn all() -> anyhow::Result<Vec<serde_json::Value>> {
+    let mut rows = Vec::new();
+    for (engines, loads) in [(24, vec![50, 80, 95, 100, 200]), (190, vec![80])] {
+        let args = RoutingArgs {
+            engines,
+            loads,
+            requests: 20_000,
+            accounts: 10,
+            seed: 1,
+            json: true,
+        };
+        for load in &args.loads {
+            for (name, make) in routers() {
+                let row = measure(&args, *load, name, make);
+                rows.push(serde_json::to_value(&row)?);
+            }
+        }
+    }
+    Ok(rows)
+}
+
 type MakeRouter = fn(usize) -> Box<dyn Router>;
 
 fn routers() -> Vec<(&'static str, MakeRouter)> {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,5 +10,6 @@
     ApplyReport, DocumentBatch, PeerDigest, PeerFuture, PeerHandler, ProbeMessage, RelayVerdict,
 };
 pub use link::PeerLinks;
+pub use message::probe_bytes;
 pub use port::{PeerAnswer, PeerFault, PeerPort};
 pub use server::serve_peers;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -9,7 +9,7 @@
 use policy::pool::{Grant, GrantAsk, GrantDecision, GrantId, GrantPart, ReadPriority, Sharing};
 use policy::prefix::{PrefixHash, PromptPrefix};
 
-use crate::handler::PeerDigest;
+use crate::handler::{PeerDigest, ProbeMessage};
 
 /// A list's length as the codec counts it.
 ///
@@ -80,6 +80,24 @@
         .collect()
 }
 
+/// Bytes of a probe with these changes on the wire.
+///
+/// # Errors
+///
+/// For a list that no message can hold.
+pub fn probe_bytes(message: &ProbeMessage) -> Result<usize, Error> {
+    let mut builder = capnp::message::Builder::new_default();
+    let mut form = builder.init_root::<schema::peer::probe_params::Builder<'_>>();
+    form.set_from(&message.from);
+    let length = list_length(message.updates.len())?;
+    write_updates(form.reborrow().init_updates(length), &message.updates);
+    write_digest(form.init_digest(), message.digest);
+    Ok(capnp::serialize::compute_serialized_size_in_words(&builder) * BYTES_PER_WORD)
+}
+
+/// Bytes of a word of the codec.
+const BYTES_PER_WORD: usize = 8;
+
 pub(crate) fn write_digest(mut form: schema::digest::Builder<'_>, digest: PeerDigest) {
     form.set_config_version(digest.config_version);
     form.set_leaving(digest.leaving);
--- a/crates/scenarios/src/world.rs
+++ b/crates/scenarios/src/world.rs
@@ -471,6 +471,20 @@
         self.state.used_tokens()
     }
 
+    /// Calls that the platform has counted.
+    #[must_use]
+    pub fn platform_calls(&self) -> u64 {
+        self.state.platform.borrow().calls
+    }
+
+    /// Names of a failure domain's instances.
+    #[must_use]
+    pub fn node_names_of(&self, domain: &str) -> Vec<String> {
+        let nodes = self.state.nodes.borrow();
+        let inside = nodes.values().filter(|slot| slot.domain == domain);
+        inside.map(|slot| slot.name.clone()).collect()
+    }
+
     /// Times that an engine crashed.
     #[must_use]
     pub fn engine_crashes(&self) -> u64 {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -18,6 +18,8 @@
     Lint,
     /// Builds the programs and runs every test.
     Test,
+    /// Takes the figures of docs/CAPACITY.md and writes them to docs/capacity.json.
+    Measure,
     /// Writes the codec of the peers' messages anew; needs `capnp` and `capnpc-rust`.
     Generate,
 }
@@ -26,6 +28,7 @@
     match ChoreArgs::parse().chore {
         Chore::Lint => lint(),
         Chore::Test => test(),
+        Chore::Measure => measure(),
         Chore::Generate => generate(),
     }
 }
@@ -41,6 +44,18 @@
     run("cargo", &["test", "--workspace", "--locked"])
 }
 
+fn measure() -> anyhow::Result<()> {
+    let build = ["build", "--release", "--locked", "--bins"];
+    run("cargo", &[&build[..], &["--workspace"]].concat())?;
+    let commit = Command::new("git")
+        .args(["rev-parse", "--short", "HEAD"])
+        .output()
+        .context("cannot run git")?;
+    let commit = String::from_utf8_lossy(&commit.stdout).trim().to_owned();
+    let slopes = ["slopes", "--out", "docs/capacity.json", "--commit", &commit];
+    run("target/release/jackdawpoint-measure", &slopes)
+}
+
 fn generate() -> anyhow::Result<()> {
     let args = [
         "compile",
