--- a/crates/measure/src/membership.rs
+++ b/crates/measure/src/membership.rs
@@ -127,7 +127,7 @@
                 MemberTable::new(owner(number), &address(number), limits, seed)
             })
             .collect();
-        let all: Vec<MemberUpdate> = tables.iter().flat_map(|table| table.snapshot()).collect();
+        let all: Vec<MemberUpdate> = tables.iter().flat_map(MemberTable::snapshot).collect();
         for table in &mut tables {
             table.merge(&all, 0);
             table.take_events();
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -58,6 +58,8 @@
     pub indirect_timeout: Millis,
     /// Until a suspected member is declared dead.
     pub suspicion: Millis,
+    /// Between two direct probes of a suspected member, each of which lets it refute.
+    pub suspect_period: Millis,
     /// Between two probes of a dead member, by which partitions heal.
     pub heal_period: Millis,
     /// Members asked to probe on this member's behalf.
@@ -75,6 +77,7 @@
             direct_timeout: 300,
             indirect_timeout: 500,
             suspicion: 2_000,
+            suspect_period: 400,
             heal_period: 5_000,
             relays: 3,
             updates_per_message: 6,
@@ -133,6 +136,8 @@
 struct MemberRecord {
     update: MemberUpdate,
     since: Millis,
+    /// When a suspected member is to be probed again.
+    reprobe: Millis,
     sends_left: u32,
 }
 
@@ -276,6 +281,7 @@
         let record = MemberRecord {
             update: update.clone(),
             since: now,
+            reprobe: now,
             sends_left: self.limits.sends_per_update,
         };
         self.members.insert(update.owner.instance.clone(), record);
@@ -336,6 +342,7 @@
         let mut actions = Vec::new();
         self.expire_probes(now, &mut actions);
         self.expire_suspects(now);
+        actions.extend(self.probe_suspects(now));
         if now >= self.next_probe {
             self.next_probe = now + self.limits.probe_period;
             actions.extend(self.probe_next(now));
@@ -445,6 +452,24 @@
         self.probe(&target, now)
     }
 
+    /// Each member probes a suspected one itself: a refutation that has to travel by way of
+    /// others comes too late in a large membership.
+    fn probe_suspects(&mut self, now: Millis) -> Vec<MemberAction> {
+        let period = self.limits.suspect_period;
+        let due: Vec<InstanceId> = self
+            .members
+            .values_mut()
+            .filter(|record| record.update.status == MemberStatus::Suspect)
+            .filter(|record| now >= record.reprobe)
+            .map(|record| {
+                record.reprobe = now + period;
+                record.update.owner.instance.clone()
+            })
+            .collect();
+        let probes = due.iter().map(|target| self.probe(target, now));
+        probes.collect::<Vec<_>>().into_iter().flatten().collect()
+    }
+
     fn probe_dead(&mut self, now: Millis) -> Option<MemberAction> {
         let mut dead: Vec<InstanceId> = self
             .members
--- a/crates/timer/src/lib.rs
+++ b/crates/timer/src/lib.rs
@@ -100,6 +100,11 @@
     pub fn at(&self, moment: Millis) -> TimerWait {
         let (sender, receiver) = oneshot::channel();
         let mut table = self.shared.table.lock();
+        if moment <= table.now {
+            // The receiver is at hand, so that it cannot have gone.
+            let _ = sender.send(());
+            return TimerWait { receiver };
+        }
         let id = table.next_id;
         table.next_id += 1;
         table.waiting.insert((moment, id), sender);
