--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -1,27 +1,26 @@
 //! Drives one completion: carries out the decisions of `policy::flow`.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use caller::{AnswerPart, AnswerStream, CompletionKind};
-use engine::{EngineClient, EngineFrame, FrameStream, MemoryOrder, OpenFault, StreamOrder};
+use engine::{EngineClient, EngineFrame, FrameStream, OpenFault, StreamOrder};
 use futures::StreamExt;
-use futures::future::join_all;
 use futures::stream::unfold;
 use ntex::util::Bytes;
-use policy::flow::{EndpointEvidence, FlowEvent, FlowStep, RequestFlow, RetryGate};
+use policy::flow::{FlowEvent, FlowStep, RequestFlow};
 use policy::frame::FrameKind;
 use policy::ids::{AccountId, AttemptId, EndpointId, Millis, RequestId};
-use policy::outcome::{Refusal, RefusalReason, RequestOutcome, RetryReason, UnfinishedReason};
-use policy::poison::{CrashReport, Fingerprint, PoisonVerdict};
+use policy::outcome::{Refusal, RefusalReason, RequestOutcome, UnfinishedReason};
+use policy::poison::{Fingerprint, PoisonVerdict};
 use policy::pool::{GrantAsk, Sharing};
 use policy::prefix::{BYTES_PER_TOKEN, PromptPrefix};
-use policy::retry::RetryVerdict;
 use policy::template::ModelRule;
 use tokio::time::{Instant, timeout_at};
 
+use crate::budget_gate::BudgetGate;
+use crate::completion_holds::ImportVerdict;
 use crate::control::ControlHandle;
 use crate::grants::{GrantDesk, HeldGrant};
 use crate::tables::EntryTables;
@@ -73,21 +72,21 @@
     Ended,
 }
 
-struct OpenStream {
+pub(crate) struct OpenStream {
     frames: FrameStream,
     silence: Millis,
 }
 
 /// Owns everything that a running completion holds; dropping it gives all of it back.
-struct CompletionDriver {
-    desk: CompletionDesk,
-    completion: AdmittedCompletion,
+pub(crate) struct CompletionDriver {
+    pub(crate) desk: CompletionDesk,
+    pub(crate) completion: AdmittedCompletion,
     flow: RequestFlow,
     state: DriverState,
     rule: usize,
-    held: Option<HeldGrant>,
-    attempt: Option<AttemptId>,
-    stream: Option<OpenStream>,
+    pub(crate) held: Option<HeldGrant>,
+    pub(crate) attempt: Option<AttemptId>,
+    pub(crate) stream: Option<OpenStream>,
 }
 
 impl CompletionDriver {
@@ -291,28 +290,6 @@
         }
     }
 
-    /// Imports memory on the engines that share a prompt which one alone cannot hold.
-    async fn import_memory(&self, attempt: AttemptId) -> ImportVerdict {
-        let Some(held) = &self.held else {
-            return ImportVerdict::Done;
-        };
-        for part in held.grant.parts.iter().skip(1) {
-            let Some(engine) = self.desk.tables.engines.get(&part.endpoint) else {
-                return ImportVerdict::Failed;
-            };
-            let order = MemoryOrder {
-                attempt,
-                owner: held.grant.owner.clone(),
-                tokens: part.tokens,
-            };
-            let imported = self.desk.engines.import_memory(engine.address, &order);
-            if imported.await.is_err() {
-                return ImportVerdict::Failed;
-            }
-        }
-        ImportVerdict::Done
-    }
-
     async fn probe(&mut self, endpoint: &EndpointId) -> FlowEvent {
         self.cancel_stream();
         let Some(engine) = self.desk.tables.engines.get(endpoint) else {
@@ -390,94 +367,6 @@
         budgets.endpoints.budget(endpoint).first_attempt();
     }
 
-    /// Tells the steward, and where the endpoint died also the other instances.
-    fn judge_endpoint(&self, evidence: EndpointEvidence) {
-        let Some(held) = &self.held else {
-            return;
-        };
-        let endpoint = held.grant.lead();
-        match evidence {
-            EndpointEvidence::None => {}
-            EndpointEvidence::Unreachable => {
-                self.desk.grants.endpoint_failed(&held.pool, endpoint);
-            }
-            EndpointEvidence::Crashed => {
-                self.desk.grants.endpoint_failed(&held.pool, endpoint);
-                self.report_crash(endpoint.clone());
-            }
-        }
-    }
-
-    fn report_crash(&self, endpoint: EndpointId) {
-        let tables = &self.desk.tables;
-        tables.metrics.endpoint_crashes.inc();
-        let report = CrashReport {
-            fingerprint: self.completion.fingerprint,
-            endpoint,
-        };
-        let now = tables.now();
-        tables.poison.lock().record(&report, now);
-        self.desk
-            .control
-            .post(async move |control| control.spread_crash(report).await);
-    }
-
-    /// Cancels the running stream; the engines are asked again until they have answered.
-    fn cancel_stream(&mut self) {
-        self.stream = None;
-        for (address, attempt, hold) in self.take_holds() {
-            self.desk
-                .control
-                .post(async move |control| control.disown(address, attempt, hold).await);
-        }
-    }
-
-    /// What the engines may still hold for the present attempt.
-    fn take_holds(&mut self) -> Vec<(SocketAddr, AttemptId, EngineHold)> {
-        let (Some(attempt), Some(granted)) = (self.attempt.take(), &self.held) else {
-            return Vec::new();
-        };
-        let parts = granted.grant.parts.iter().enumerate();
-        parts
-            .filter_map(|(index, part)| {
-                let engine = self.desk.tables.engines.get(&part.endpoint)?;
-                let hold = if index == 0 {
-                    EngineHold::Stream
-                } else {
-                    EngineHold::Memory
-                };
-                Some((engine.address, attempt, hold))
-            })
-            .collect()
-    }
-
-    /// Returns everything that the present grant holds: first what the engines hold, then the
-    /// grant, so that the next holder finds the engines free.
-    fn give_back(&mut self) {
-        self.stream = None;
-        let holds = self.take_holds();
-        let Some(held) = self.held.take() else {
-            return;
-        };
-        if holds.is_empty() {
-            self.desk.grants.release(&held);
-            return;
-        }
-        let grants = self.desk.grants.clone();
-        self.desk.control.post(async move |control| {
-            let first_tries = holds
-                .iter()
-                .map(|(address, attempt, hold)| control.try_disown(*address, *attempt, *hold));
-            let verdicts = join_all(first_tries).await;
-            grants.release(&held);
-            for ((address, attempt, hold), verdict) in holds.into_iter().zip(verdicts) {
-                if verdict == DisownVerdict::NoAnswer {
-                    control.spawn(control.clone().disown(address, attempt, hold));
-                }
-            }
-        });
-    }
-
     fn finish(&mut self, outcome: RequestOutcome) -> AnswerPart {
         let tables = self.desk.tables.clone();
         match &outcome {
@@ -519,30 +408,6 @@
     }
 }
 
-/// What an engine holds for an attempt.
-#[derives::tag]
-pub(crate) enum EngineHold {
-    /// A running stream.
-    Stream,
-    /// Imported memory.
-    Memory,
-}
-
-/// Whether an engine has let go.
-#[derives::tag]
-pub(crate) enum DisownVerdict {
-    /// It has.
-    Done,
-    /// It gave no answer.
-    NoAnswer,
-}
-
-#[derives::tag]
-enum ImportVerdict {
-    Done,
-    Failed,
-}
-
 /// Whether a worse-ranked rule may serve what a better one could not.
 fn is_worth_next_rule(reason: RefusalReason) -> bool {
     matches!(
@@ -555,27 +420,6 @@
     )
 }
 
-/// Counts retries against the budgets of an account and of an endpoint.
-pub(crate) struct BudgetGate<'a> {
-    pub(crate) tables: &'a EntryTables,
-    pub(crate) account: &'a AccountId,
-}
-
-impl RetryGate for BudgetGate<'_> {
-    fn retry(&mut self, endpoint: &EndpointId, reason: RetryReason) -> RetryVerdict {
-        let mut budgets = self.tables.budgets.lock();
-        let by_account = budgets.accounts.budget(self.account).retry();
-        if by_account == RetryVerdict::Spent {
-            return RetryVerdict::Spent;
-        }
-        let by_endpoint = budgets.endpoints.budget(endpoint).retry();
-        if by_endpoint == RetryVerdict::Allowed {
-            self.tables.metrics.retried(reason);
-        }
-        by_endpoint
-    }
-}
-
 fn millis(duration: Duration) -> Millis {
     Millis::try_from(duration.as_millis()).unwrap_or(Millis::MAX)
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,8 +4,10 @@
 //! share the tables of [`tables`], whose lock order is stated there.
 
 mod announcements;
+mod budget_gate;
 mod claims;
 mod completion;
+mod completion_holds;
 mod configuration;
 mod control;
 mod core;
--- a/crates/entry/src/service_calls.rs
+++ b/crates/entry/src/service_calls.rs
@@ -18,7 +18,7 @@
 use service::{CallFault, ServiceAnswer, ServiceClient};
 use tokio::time::{Instant, timeout};
 
-use crate::completion::BudgetGate;
+use crate::budget_gate::BudgetGate;
 use crate::control::ControlHandle;
 use crate::tables::EntryTables;
 
--- a/crates/entry/src/stewardship.rs
+++ b/crates/entry/src/stewardship.rs
@@ -8,7 +8,7 @@
 use policy::pool::Reconciliation;
 use policy::steward::steward_of;
 
-use crate::completion::{DisownVerdict, EngineHold};
+use crate::completion_holds::{DisownVerdict, EngineHold};
 use crate::control::Control;
 use crate::grants::drain;
 use crate::tables::StewardRole;
--- a/crates/policy/src/pool/mod.rs
+++ b/crates/policy/src/pool/mod.rs
@@ -6,12 +6,14 @@
 
 mod alone;
 mod ask;
+mod drain;
 mod endpoint;
 mod health;
 mod lane;
 mod place;
 mod queue;
 mod reconcile;
+mod refuse;
 mod table;
 
 pub use ask::{
--- a/crates/policy/src/pool/table.rs
+++ b/crates/policy/src/pool/table.rs
@@ -70,10 +70,7 @@
 }
 
 /// A short wait before a caller may try again, in milliseconds.
-const RETRY_SOON: Millis = 1_000;
-
-/// Long requests behind the head that are looked at for endpoints that it does not wait for.
-const BACKFILL_ASKS: usize = 64;
+pub(super) const RETRY_SOON: Millis = 1_000;
 
 /// Weight of the newest sample in the mean time for which a slot is held, as one in this many.
 const HOLD_SAMPLES: u64 = 16;
@@ -88,17 +85,17 @@
     pub(super) endpoints: BTreeMap<EndpointId, EndpointState>,
     pub(super) grants: HashMap<GrantId, Vec<EndpointId>>,
     /// Where content runs now, with the number of requests that run it.
-    prints: HashMap<Fingerprint, (EndpointId, usize)>,
+    pub(super) prints: HashMap<Fingerprint, (EndpointId, usize)>,
     /// Streams and memory of lost owners, with the time at which they were first seen so.
     pub(super) orphans: HashMap<(EndpointId, AttemptId), Millis>,
-    short_queue: FairQueue,
-    long_queue: FairQueue,
-    alone: AloneQueue,
+    pub(super) short_queue: FairQueue,
+    pub(super) long_queue: FairQueue,
+    pub(super) alone: AloneQueue,
     /// Endpoints kept free for the long request whose turn it is.
-    kept: Option<(TicketId, Vec<EndpointId>)>,
-    lane: LongLane,
+    pub(super) kept: Option<(TicketId, Vec<EndpointId>)>,
+    pub(super) lane: LongLane,
     pub(super) prefixes: PrefixIndex,
-    mean_hold: Millis,
+    pub(super) mean_hold: Millis,
     long_work: Millis,
     long_works: HashMap<GrantId, Millis>,
     next_id: u64,
@@ -239,138 +236,6 @@
         ticket
     }
 
-    /// Decides on as many waiting asks as can be decided now.
-    pub fn drain(&mut self, now: Millis) -> Vec<(TicketId, GrantDecision)> {
-        let mut decided = self.drop_overdue(now);
-        self.follow_lane();
-        self.forget_kept();
-        self.drain_alone(now, &mut decided);
-        for class in [WorkClass::Short, WorkClass::Long] {
-            self.drain_class(class, now, &mut decided);
-        }
-        decided
-    }
-
-    /// Frees the kept endpoints once their request has gone.
-    fn forget_kept(&mut self) {
-        let head = self.long_queue.head().map(|waiting| waiting.ticket);
-        if let Some((ticket, _)) = &self.kept
-            && head != Some(*ticket)
-        {
-            self.kept = None;
-        }
-    }
-
-    /// Keeps one endpoint free until it is empty, then runs one request on it.
-    fn drain_alone(&mut self, now: Millis, decided: &mut Vec<(TicketId, GrantDecision)>) {
-        self.alone.reserve(&self.endpoints, now);
-        let Some((waiting, endpoint)) = self.alone.pop_ready(&self.endpoints, &self.prints) else {
-            return;
-        };
-        let class = self.class(&waiting.ask);
-        let state = &self.endpoints[&endpoint];
-        let prefill = state.spec.prefill_millis(waiting.ask.prompt_tokens);
-        let tokens = waiting.ask.memory_tokens().min(state.spec.memory_tokens);
-        let placement = Placement {
-            parts: vec![GrantPart { endpoint, tokens }],
-            prefill,
-            first_token: prefill,
-        };
-        let grant = self.grant(&waiting.ask, class, placement, now);
-        decided.push((waiting.ticket, GrantDecision::Granted(grant)));
-    }
-
-    fn drain_class(
-        &mut self,
-        class: WorkClass,
-        now: Millis,
-        decided: &mut Vec<(TicketId, GrantDecision)>,
-    ) {
-        while let Some(waiting) = self.queue(class).head().cloned() {
-            let Some(placement) = self.place(&waiting, class, now) else {
-                self.keep_for(&waiting, class, now);
-                self.backfill(class, now, decided);
-                return;
-            };
-            self.queue(class).pop();
-            let mut grant = self.grant(&waiting.ask, class, placement, now);
-            if now.saturating_sub(waiting.since) >= self.limits.long_wait / 2 {
-                grant.priority = grant.priority.raised();
-            }
-            decided.push((waiting.ticket, GrantDecision::Granted(grant)));
-        }
-    }
-
-    fn priority(&self, ask: &GrantAsk) -> ReadPriority {
-        ReadPriority::new(ask.prompt_tokens, self.limits.long_tokens)
-    }
-
-    fn place(&self, waiting: &Waiting, class: WorkClass, now: Millis) -> Option<Placement> {
-        let mut view = self.view(&waiting.ask, now);
-        if let Some((ticket, kept)) = &self.kept
-            && *ticket == waiting.ticket
-        {
-            view.reserved.retain(|endpoint| !kept.contains(endpoint));
-        }
-        view.place(&waiting.ask, class)
-    }
-
-    /// Keeps endpoints free for the long request whose turn it is, so that one which needs much
-    /// memory gets it in the end.
-    fn keep_for(&mut self, waiting: &Waiting, class: WorkClass, now: Millis) {
-        let is_kept = self
-            .kept
-            .as_ref()
-            .is_some_and(|(ticket, _)| *ticket == waiting.ticket);
-        if class == WorkClass::Long && !is_kept {
-            let endpoints = self.view(&waiting.ask, now).reserve(&waiting.ask);
-            self.kept = Some((waiting.ticket, endpoints));
-        }
-    }
-
-    /// Runs requests behind the head on endpoints that the head does not wait for.
-    fn backfill(
-        &mut self,
-        class: WorkClass,
-        now: Millis,
-        decided: &mut Vec<(TicketId, GrantDecision)>,
-    ) {
-        if class == WorkClass::Short {
-            return;
-        }
-        for waiting in self.long_queue.followers(BACKFILL_ASKS) {
-            let Some(placement) = self.place(&waiting, class, now) else {
-                continue;
-            };
-            self.long_queue.take(&waiting.ask.account, waiting.ticket);
-            let grant = self.grant(&waiting.ask, class, placement, now);
-            decided.push((waiting.ticket, GrantDecision::Granted(grant)));
-        }
-    }
-
-    fn drop_overdue(&mut self, now: Millis) -> Vec<(TicketId, GrantDecision)> {
-        let short_wait = self.limits.short_wait;
-        let long_wait = self.limits.long_wait;
-        let mut over = self
-            .short_queue
-            .remove_where(|waiting| now >= waiting.deadline.min(waiting.since + short_wait));
-        over.extend(
-            self.long_queue
-                .remove_where(|waiting| now >= waiting.deadline.min(waiting.since + long_wait)),
-        );
-        over.extend(self.alone.remove_where(|waiting| now >= waiting.deadline));
-        over.into_iter()
-            .map(|waiting| {
-                let reason = if now >= waiting.deadline {
-                    RefusalReason::DeadlinePassed
-                } else {
-                    RefusalReason::Overloaded
-                };
-                (waiting.ticket, refused(reason, RETRY_SOON))
-            })
-            .collect()
-    }
-
     /// Forgets a waiting ask whose caller has gone.
     pub fn abandon(&mut self, ticket: TicketId) {
         self.short_queue
@@ -423,70 +288,7 @@
         }
     }
 
-    fn refuse_outright(&self, ask: &GrantAsk, now: Millis) -> Option<Refusal> {
-        if ask.time_left == 0 {
-            return Some(Refusal::new(RefusalReason::DeadlinePassed, RETRY_SOON));
-        }
-        let tokens = ask.memory_tokens();
-        let mut memory: Vec<u64> = self
-            .endpoints
-            .values()
-            .map(|state| state.spec.memory_tokens)
-            .collect();
-        memory.sort_unstable_by_key(|tokens| std::cmp::Reverse(*tokens));
-        let span: u64 = memory.iter().take(self.limits.largest_span).sum();
-        if !memory.is_empty() && tokens > span {
-            return Some(Refusal::new(RefusalReason::PromptTooLarge, 0));
-        }
-        let is_usable =
-            |state: &EndpointState| state.is_usable(now) && !ask.excluded.contains(&state.spec.id);
-        if !self.endpoints.values().any(is_usable) {
-            return Some(Refusal::new(
-                RefusalReason::NoEndpoint,
-                self.limits.down_time,
-            ));
-        }
-        None
-    }
-
-    /// Refuses an ask that would wait too long, or whose account has its share of the queue.
-    fn refuse_queueing(&self, ask: &GrantAsk, class: WorkClass) -> Option<Refusal> {
-        let (queue, longest) = match class {
-            WorkClass::Short => (&self.short_queue, self.limits.short_wait),
-            WorkClass::Long => (&self.long_queue, self.limits.long_wait),
-        };
-        let wait = self.expected_wait(class);
-        let bound = longest.min(ask.time_left);
-        if wait > bound {
-            return Some(Refusal::new(RefusalReason::Overloaded, wait));
-        }
-        let accounts = u64::try_from(queue.accounts()).unwrap_or(u64::MAX).max(1);
-        let own = queue.account_tokens(&ask.account);
-        let fair = queue.queued_tokens() / accounts;
-        let is_crowded = wait > bound / 2;
-        if is_crowded && accounts > 1 && own > fair * u64::from(ask.weight.max(1)) {
-            return Some(Refusal::new(RefusalReason::AccountLimit, wait));
-        }
-        None
-    }
-
-    /// Milliseconds that a new ask of `class` would wait: by prefill work, or by slots where
-    /// those are scarcer.
-    fn expected_wait(&self, class: WorkClass) -> Millis {
-        let (queue, width) = match class {
-            WorkClass::Short => (&self.short_queue, self.endpoints.len()),
-            WorkClass::Long => (&self.long_queue, self.lane.size()),
-        };
-        let lane = || self.endpoints.values().take(width);
-        let rate: u64 = lane().map(|state| state.spec.prefill_rate).sum();
-        let slots: u64 = lane().map(|state| u64::from(state.spec.slots)).sum();
-        let by_work = queue.queued_tokens() * 1_000 / rate.max(1);
-        let waiting = u64::try_from(queue.len()).unwrap_or(u64::MAX);
-        let by_slots = waiting.saturating_mul(self.mean_hold) / slots.max(1);
-        by_work.max(by_slots)
-    }
-
-    fn grant(
+    pub(super) fn grant(
         &mut self,
         ask: &GrantAsk,
         class: WorkClass,
@@ -545,7 +347,7 @@
         );
     }
 
-    fn follow_lane(&mut self) {
+    pub(super) fn follow_lane(&mut self) {
         let rate = self
             .endpoints
             .values()
@@ -569,7 +371,11 @@
         usize::try_from(tokens.div_ceil(largest)).unwrap_or(usize::MAX)
     }
 
-    fn view(&self, ask: &GrantAsk, now: Millis) -> PlaceView<'_> {
+    fn priority(&self, ask: &GrantAsk) -> ReadPriority {
+        ReadPriority::new(ask.prompt_tokens, self.limits.long_tokens)
+    }
+
+    pub(super) fn view(&self, ask: &GrantAsk, now: Millis) -> PlaceView<'_> {
         let pinned = self.prints.get(&ask.fingerprint);
         let kept = self.kept.iter().flat_map(|(_, endpoints)| endpoints);
         PlaceView {
@@ -584,7 +390,7 @@
         }
     }
 
-    fn queue(&mut self, class: WorkClass) -> &mut FairQueue {
+    pub(super) fn queue(&mut self, class: WorkClass) -> &mut FairQueue {
         match class {
             WorkClass::Short => &mut self.short_queue,
             WorkClass::Long => &mut self.long_queue,
@@ -598,6 +404,6 @@
     }
 }
 
-fn refused(reason: RefusalReason, retry_after: Millis) -> GrantDecision {
+pub(super) fn refused(reason: RefusalReason, retry_after: Millis) -> GrantDecision {
     GrantDecision::Refused(Refusal::new(reason, retry_after))
 }
--- a/crates/scenarios/src/clients.rs
+++ b/crates/scenarios/src/clients.rs
@@ -25,7 +25,8 @@
 use crate::gate::{Gated, NodeGate};
 use crate::ledger::{RequestEnd, RequestKind, RequestRecord};
 use crate::node::NodeEnd;
-use crate::world::{API_KEY, MODEL, PlantedFault, World, WorldState, end_node, template};
+use crate::world::{API_KEY, MODEL, PlantedFault, World, WorldState, end_node};
+use crate::world_build::template;
 
 /// What a completion asks for.
 #[derives::value]
--- a/crates/scenarios/src/lib.rs
+++ b/crates/scenarios/src/lib.rs
@@ -16,6 +16,7 @@
 mod script;
 mod services;
 mod world;
+mod world_build;
 
 pub use clients::PromptPlan;
 pub use invariants::Violation;
--- a/crates/scenarios/src/world.rs
+++ b/crates/scenarios/src/world.rs
@@ -10,12 +10,7 @@
 
 use entry::IdentitySource;
 use peer::PeerHandler;
-use policy::template::{
-    AccountTemplate, ClientAccount, ConfigBody, ModelRule, Repeatability, ServiceRule,
-};
-use serde_json::{Value, json};
 use service::ServiceCall;
-use settings::{EntrySettings, parse_settings};
 use tokio::runtime::Runtime;
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep};
@@ -28,6 +23,7 @@
 use crate::node::{NodeEnd, NodeSlot};
 use crate::platform::PlatformState;
 use crate::services::ServiceState;
+use crate::world_build::build_state;
 
 /// Milliseconds since the Unix epoch at which every world begins.
 const WORLD_START: u64 = 1_700_000_000_000;
@@ -110,6 +106,13 @@
 }
 
 impl FakeIdentity {
+    pub(crate) fn new() -> Self {
+        Self {
+            start: Instant::now(),
+            next: AtomicU64::new(1),
+        }
+    }
+
     /// Milliseconds since the world began.
     pub(crate) fn elapsed_millis(&self) -> u64 {
         u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
@@ -134,8 +137,8 @@
     pub(crate) ledger: RefCell<Ledger>,
     pub(crate) identity: Arc<FakeIdentity>,
     pub(crate) planted: PlantedFault,
-    engines: RefCell<BTreeMap<SocketAddr, EngineState>>,
-    services: RefCell<BTreeMap<SocketAddr, ServiceState>>,
+    pub(crate) engines: RefCell<BTreeMap<SocketAddr, EngineState>>,
+    pub(crate) services: RefCell<BTreeMap<SocketAddr, ServiceState>>,
 }
 
 impl WorldState {
@@ -515,143 +518,3 @@
         }
     });
 }
-
-fn build_state(plan: &WorldPlan) -> Rc<WorldState> {
-    let mut platform = PlatformState::default();
-    for (key, body) in initial_documents() {
-        let value = json!({
-            "change": key, "author": "", "written_ms": 0, "body": body, "earlier": [],
-        });
-        platform.put(&key, &value.to_string());
-    }
-    let mut engines = BTreeMap::new();
-    let mut services = BTreeMap::new();
-    let mut nodes = BTreeMap::new();
-    for (number, domain) in plan.domains.iter().enumerate() {
-        for index in 0..plan.engines {
-            let state = EngineState::new(
-                &format!("{domain}-engine-{index}"),
-                plan.slots,
-                plan.memory_tokens,
-            );
-            engines.insert(address(number, 1, index), state);
-        }
-        for index in 0..plan.services {
-            let state = ServiceState::new(&format!("{domain}-service-{index}"));
-            services.insert(address(number, 2, index), state);
-        }
-        for index in 0..plan.nodes {
-            let name = format!("{domain}-{index}");
-            let settings = node_settings(plan, number, index);
-            nodes.insert(name.clone(), NodeSlot::new(&name, domain, settings));
-        }
-    }
-    Rc::new(WorldState {
-        network: FakeNetwork::new(plan.seed),
-        platform: RefCell::new(platform),
-        nodes: RefCell::new(nodes),
-        ledger: RefCell::new(Ledger::default()),
-        identity: Arc::new(FakeIdentity {
-            start: Instant::now(),
-            next: AtomicU64::new(1),
-        }),
-        planted: plan.planted,
-        engines: RefCell::new(engines),
-        services: RefCell::new(services),
-    })
-}
-
-fn address(domain: usize, kind: u8, index: usize) -> SocketAddr {
-    let octet = |number: usize| u8::try_from(number % 250).unwrap_or(0);
-    SocketAddr::from(([10, octet(domain), kind, octet(index)], 80))
-}
-
-/// The template with which a world begins, and which its operators change.
-pub(crate) fn template(output_tokens: u64) -> AccountTemplate {
-    AccountTemplate {
-        name: policy::ids::TemplateId::new("parents"),
-        models: vec![ModelRule {
-            model: MODEL.to_owned(),
-            target: String::new(),
-            adapter: String::new(),
-            version: String::new(),
-            rank: 0,
-        }],
-        services: vec![ServiceRule {
-            service: "orders".to_owned(),
-            calls: Repeatability::Once,
-        }],
-        output_tokens,
-        weight: 1,
-    }
-}
-
-fn initial_documents() -> Vec<(String, ConfigBody)> {
-    let template = template(64);
-    let account = ClientAccount {
-        name: policy::ids::AccountId::new("family"),
-        key_sha256: caller::KeyDigest::new(API_KEY).as_str().to_owned(),
-        template: template.name.clone(),
-    };
-    vec![
-        (
-            policy::template::template_key(&template.name),
-            ConfigBody::Template(template),
-        ),
-        (
-            policy::template::account_key(&account.name),
-            ConfigBody::Account(account),
-        ),
-    ]
-}
-
-fn node_settings(plan: &WorldPlan, domain: usize, index: usize) -> EntrySettings {
-    let engines: Vec<Value> = (0..plan.engines)
-        .map(|engine| {
-            json!({
-                "name": format!("{}-engine-{engine}", plan.domains[domain]),
-                "address": address(domain, 1, engine),
-                "slots": plan.slots,
-                "memory_tokens": plan.memory_tokens,
-                "prefill_rate": 100_000,
-            })
-        })
-        .collect();
-    let services: Vec<Value> = (0..plan.services)
-        .map(|service| {
-            json!({
-                "name": format!("{}-service-{service}", plan.domains[domain]),
-                "address": address(domain, 2, service),
-            })
-        })
-        .collect();
-    let peers = |domain: usize| -> Vec<SocketAddr> {
-        (0..plan.nodes)
-            .map(|node| address(domain, 3, node))
-            .collect()
-    };
-    let others: Vec<Value> = (0..plan.domains.len())
-        .filter(|other| *other != domain)
-        .map(|other| json!({ "name": plan.domains[other], "peers": peers(other) }))
-        .collect();
-    let form = json!({
-        "instance": format!("{}-{index}", plan.domains[domain]),
-        "failure_domain": plan.domains[domain],
-        "listen": {
-            "callers": address(domain, 4, index),
-            "operators": address(domain, 5, index),
-            "peers": address(domain, 3, index),
-        },
-        "peers": peers(domain),
-        "other_domains": others,
-        "platform": {
-            "key_value": address(99, 0, 0),
-            "instances": address(99, 0, 1),
-            "weights": address(99, 0, 2),
-        },
-        "pools": [{ "name": "advice", "models": [MODEL], "engines": engines }],
-        "services": [{ "name": "orders", "endpoints": services }],
-        "limits": { "long_tokens": 20_000, "lame_duck_ms": 500 },
-    });
-    parse_settings(&form.to_string()).unwrap_or_else(|fault| panic!("the settings: {fault}"))
-}
--- a/crates/scenarios/tests/bad_requests.rs
+++ b/crates/scenarios/tests/bad_requests.rs
@@ -6,6 +6,8 @@
 use ntex::util::Bytes;
 use serde_json::Value;
 use support::fleet::{API_KEY, Fleet, FleetPlan};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 struct BadRequest {
     name: &'static str,
@@ -191,3 +193,25 @@
     assert_eq!(body["bytes"], 3);
     assert_eq!(body["call"], "look-up");
 }
+
+#[ntex::test]
+async fn a_caller_that_sends_too_slowly_is_told_so() {
+    let plan = FleetPlan {
+        limits: serde_json::json!({ "body_ms": 300, "lame_duck_ms": 200 }),
+        ..FleetPlan::default()
+    };
+    let fleet = Fleet::start(plan).await;
+    let address = fleet.entries[0].callers;
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: {address}\r\ncontent-length: 100\r\n\
+         authorization: Bearer {API_KEY}\r\n\r\n{{\"model\""
+    );
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(head.as_bytes()).await.expect("it is sent");
+    let mut answer = vec![0; 1_024];
+    let length = stream.read(&mut answer).await.expect("an answer");
+    let answer = String::from_utf8_lossy(&answer[..length]).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    let slow = r#"jackdawpoint_refusals_total{reason="slow_caller"}"#;
+    assert!((fleet.metric(&fleet.entries[0], slow).await - 1.0).abs() < f64::EPSILON);
+}
