Read the platform before a rollout is asked again

Cause, found by reading: asking again sent only documents of exactly that version. An instance that lacked the document but had a newer one of another key sent nothing, every instance answered with its highest version, and the answer could be 'accepted' for a change that was not in force. Ruled out: the answer to the change itself, which sends the document along. Change: the platform is read first, and everything written since that version is sent along; with the platform away the answer is platform_down.

--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -117,7 +117,7 @@
     }
 
     /// Waits for changes after `revision` and passes them on; gives the revision to go on from.
-    async fn read_changes(self: &Rc<Self>, revision: u64) -> Option<u64> {
+    pub(crate) async fn read_changes(self: &Rc<Self>, revision: u64) -> Option<u64> {
         self.tables.metrics.platform_calls.inc();
         let watch = self
             .ports
--- a/crates/entry/src/domain_rollout.rs
+++ b/crates/entry/src/domain_rollout.rs
@@ -259,19 +259,22 @@
     }
 
     /// Asks again whether a version is in force everywhere.
+    ///
+    /// The platform is read first: this instance may have newer documents and lack the one in
+    /// question. Whatever was written since is sent along, since a newer version of the same
+    /// document puts the older one out of force.
     pub(crate) async fn ask_rollout(
         self: &Rc<Self>,
         version: u64,
     ) -> Result<RolloutVerdict, OperatorFault> {
-        let documents: Vec<ConfigDocument> = {
+        if self.read_changes(0).await.is_none() {
+            return Err(OperatorFault::PlatformDown);
+        }
+        let documents = {
             let config = self.tables.config.read();
-            let documents = config.since(version.saturating_sub(1));
-            documents
-                .into_iter()
-                .filter(|document| document.version == version)
-                .collect()
+            config.since(version.saturating_sub(1))
         };
-        if documents.is_empty() && self.tables.config.read().version() < version {
+        if documents.is_empty() {
             return Err(OperatorFault::Unknown);
         }
         Ok(self.roll_out(version, documents).await)
