--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -14,9 +14,7 @@
 use ntex::util::Bytes;
 use operator::ChangeForm;
 use policy::ids::{AccountId, TemplateId};
-use policy::template::{
-    AccountTemplate, ClientAccount, ConfigBody, ModelRule, Repeatability, ServiceRule,
-};
+use policy::template::{AccountTemplate, ClientAccount, ConfigBody, Repeatability};
 use serde_json::json;
 use settings::{EntrySettings, parse_settings};
 use standin::engine::{EngineOptions, EngineStandin, expected_text};
@@ -141,22 +139,10 @@
 }
 
 async fn configure(target: &OperatorTarget) -> anyhow::Result<()> {
-    let template = AccountTemplate {
-        name: TemplateId::new("parents"),
-        models: vec![ModelRule {
-            model: MODEL.to_owned(),
-            target: String::new(),
-            adapter: String::new(),
-            version: String::new(),
-            rank: 0,
-        }],
-        services: vec![ServiceRule {
-            service: "orders".to_owned(),
-            calls: Repeatability::Once,
-        }],
-        output_tokens: ANSWER_TOKENS,
-        weight: 1,
-    };
+    let template = AccountTemplate::new(TemplateId::new("parents"))
+        .with_model(MODEL)
+        .with_service("orders", Repeatability::Once)
+        .with_output_tokens(ANSWER_TOKENS);
     let account = ClientAccount {
         name: AccountId::new("family-app"),
         key_sha256: KeyDigest::new(API_KEY).as_str().to_owned(),
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -46,8 +46,6 @@
     pub peer_messages: IntCounter,
     /// Endpoints seen to crash while a request ran on them.
     pub endpoint_crashes: IntCounter,
-    /// Orders given to engines.
-    pub orders: IntCounter,
 }
 
 impl Default for EntryMetrics {
@@ -115,7 +113,6 @@
             rejoins: counter("rejoins_total", "New incarnations after a pause."),
             peer_messages: counter("peer_messages_total", "Messages between instances."),
             endpoint_crashes: counter("endpoint_crashes_total", "Endpoint crashes seen."),
-            orders: counter("orders_total", "Orders given to engines."),
             registry,
         }
     }
--- a/crates/policy/src/template.rs
+++ b/crates/policy/src/template.rs
@@ -90,6 +90,48 @@
     1
 }
 
+impl AccountTemplate {
+    /// A template that allows nothing yet.
+    #[must_use]
+    pub fn new(name: TemplateId) -> Self {
+        Self {
+            name,
+            models: Vec::new(),
+            services: Vec::new(),
+            output_tokens: default_output_tokens(),
+            weight: default_weight(),
+        }
+    }
+
+    /// Allows a model, under the name by which engines know it.
+    #[must_use]
+    pub fn with_model(mut self, model: &str) -> Self {
+        self.models.push(ModelRule {
+            model: model.to_owned(),
+            target: String::new(),
+            adapter: String::new(),
+            version: String::new(),
+            rank: 0,
+        });
+        self
+    }
+
+    /// Allows a service.
+    #[must_use]
+    pub fn with_service(mut self, service: &str, calls: Repeatability) -> Self {
+        let service = service.to_owned();
+        self.services.push(ServiceRule { service, calls });
+        self
+    }
+
+    /// Bounds the generated tokens where the caller names no bound.
+    #[must_use]
+    pub fn with_output_tokens(mut self, tokens: u64) -> Self {
+        self.output_tokens = tokens;
+        self
+    }
+}
+
 /// A client account.
 #[derive(Eq)]
 #[derives::wire]
--- a/crates/scenarios/src/world_build.rs
+++ b/crates/scenarios/src/world_build.rs
@@ -6,9 +6,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use policy::template::{
-    AccountTemplate, ClientAccount, ConfigBody, ModelRule, Repeatability, ServiceRule,
-};
+use policy::template::{AccountTemplate, ClientAccount, ConfigBody, Repeatability};
 use serde_json::{Value, json};
 use settings::{EntrySettings, parse_settings};
 
@@ -69,22 +67,10 @@
 
 /// The template with which a world begins, and which its operators change.
 pub(crate) fn template(output_tokens: u64) -> AccountTemplate {
-    AccountTemplate {
-        name: policy::ids::TemplateId::new("parents"),
-        models: vec![ModelRule {
-            model: MODEL.to_owned(),
-            target: String::new(),
-            adapter: String::new(),
-            version: String::new(),
-            rank: 0,
-        }],
-        services: vec![ServiceRule {
-            service: "orders".to_owned(),
-            calls: Repeatability::Once,
-        }],
-        output_tokens,
-        weight: 1,
-    }
+    AccountTemplate::new(policy::ids::TemplateId::new("parents"))
+        .with_model(MODEL)
+        .with_service("orders", Repeatability::Once)
+        .with_output_tokens(output_tokens)
 }
 
 fn initial_documents() -> Vec<(String, ConfigBody)> {
