Give each test process its own loopback host instead of trying ports out

The harness tried each port by opening a listener and dropped it. A process that another test starts at that moment inherits the listener until its exec, so that the instance that gets the port cannot bind it and ends. A trial (six threads that start /bin/true, four that bind, drop and bind again): 69 to 73 of 20,000 ports could not be bound again at once, 23 to 35 not after 2 ms either. Ruled out: ports of outgoing connections (the range begins above ours); two test processes at once (they run one after the other); a slow start (the listeners are bound before anything else, and the port refused for 20 s). Not seen: the failed instance's own message, its standard error was dropped. Change: a test process takes its addresses from a host number of its own in 127.0.0.0/8 and never opens them itself; a process that ends before it is ready fails its test at once with what it wrote to standard error.

--- a/crates/scenarios/tests/support/fleet.rs
+++ b/crates/scenarios/tests/support/fleet.rs
@@ -1,6 +1,6 @@
 //! A fleet of entry instances and stand-ins on loopback.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -31,7 +31,7 @@
 
 impl Standin {
     pub fn new(args: &[&str]) -> Self {
-        let listen = free_address().to_string();
+        let listen = unused_address().to_string();
         let mut all = args.to_vec();
         all.extend(["--listen", &listen]);
         let (process, address) = TestProcess::with_address(STANDIN, &all);
@@ -240,6 +240,7 @@
     pub async fn wait_ready(&self, entry: &EntryNode) {
         let url = format!("http://{}/ready", entry.callers);
         self.eventually("the instance is ready", async || {
+            entry.process.assert_running();
             let request = self.link.request(Method::GET, &url);
             let answer = self.link.send(request, ntex::util::Bytes::new()).await;
             answer.is_ok_and(|answer| answer.status().is_success())
@@ -395,37 +396,31 @@
             nodes.push(NodeAddresses {
                 domain,
                 name: format!("{domain}-{index}"),
-                callers: free_address(),
-                operators: free_address(),
-                peers: free_address(),
+                callers: unused_address(),
+                operators: unused_address(),
+                peers: unused_address(),
             });
         }
     }
     nodes
 }
 
-/// First port of the range that tests use; it ends below the range from which the system takes
-/// the ports of outgoing connections.
+/// First port that a test process uses; all lie below the range from which the system takes the
+/// ports of outgoing connections.
 const FIRST_PORT: u32 = 10_000;
 
-/// Ports in the range.
-const PORTS: u32 = 20_000;
-
-/// Ports that one test process uses at the most.
-const PORTS_PER_PROCESS: u32 = 250;
-
-/// A loopback address that no other test of this process has been given.
-pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    loop {
-        let own = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
-        let offset = own.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
-        let port = u16::try_from(FIRST_PORT + offset).expect("the range ends below 65,536");
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
+/// A loopback address that nothing else uses: each test process has a host number of its own in
+/// 127.0.0.0/8 and counts its ports up.
+///
+/// The address is not tried out. A listener that is opened to try it is inherited for a moment by
+/// every process that another test starts just then, and so keeps the port taken.
+pub fn unused_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(FIRST_PORT);
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, high + 1, middle, low);
+    let port = NEXT.fetch_add(1, Ordering::Relaxed);
+    let port = u16::try_from(port).expect("a test process uses few ports");
+    SocketAddr::from((host, port))
 }
 
 /// Writes settings to a file of the test's own.
--- a/crates/scenarios/tests/support/process.rs
+++ b/crates/scenarios/tests/support/process.rs
@@ -1,5 +1,7 @@
 //! Processes that end with their test.
 
+use std::cell::RefCell;
+use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -8,7 +10,9 @@
 
 /// A process that is killed when it is dropped.
 pub struct TestProcess {
-    child: Child,
+    child: RefCell<Child>,
+    /// What the process writes to its standard error.
+    errors: PathBuf,
 }
 
 /// The signals that tests send.
@@ -33,19 +37,25 @@
 
 impl TestProcess {
     pub fn new(program: &str, args: &[&str]) -> Self {
+        let errors = errors_file(program);
+        let file = File::create(&errors).expect("the folder can be written");
         let child = Command::new(binary(program))
             .args(args)
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stderr(file)
             .spawn()
             .unwrap_or_else(|error| panic!("cannot start {program}: {error}"));
-        Self { child }
+        Self {
+            child: RefCell::new(child),
+            errors,
+        }
     }
 
     /// Starts a stand-in and reads its address from what it prints.
     pub fn with_address(program: &str, args: &[&str]) -> (Self, SocketAddr) {
         let mut process = Self::new(program, args);
-        let stdout = process.child.stdout.take().expect("stdout is piped");
+        let stdout = process.child.get_mut().stdout.take();
+        let stdout = stdout.expect("stdout is piped");
         let mut line = String::new();
         BufReader::new(stdout)
             .read_line(&mut line)
@@ -56,7 +66,18 @@
     }
 
     pub fn id(&self) -> u32 {
-        self.child.id()
+        self.child.borrow().id()
+    }
+
+    /// Fails the test with what the process said if it has ended.
+    pub fn assert_running(&self) {
+        let status = self.child.borrow_mut().try_wait();
+        let status = status.expect("the child can be waited for");
+        let Some(status) = status else {
+            return;
+        };
+        let errors = std::fs::read_to_string(&self.errors).unwrap_or_default();
+        panic!("the process ended, {status}: {errors}");
     }
 
     pub fn signal(&self, signal: Signal) {
@@ -71,7 +92,12 @@
     pub fn wait(&mut self, limit: Duration) -> ExitStatus {
         let end = Instant::now() + limit;
         loop {
-            if let Some(status) = self.child.try_wait().expect("the child can be waited for") {
+            if let Some(status) = self
+                .child
+                .get_mut()
+                .try_wait()
+                .expect("the child can be waited for")
+            {
                 return status;
             }
             assert!(Instant::now() < end, "the process did not end in {limit:?}");
@@ -83,11 +109,18 @@
 impl Drop for TestProcess {
     fn drop(&mut self) {
         // A process that has ended already needs no killing.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let child = self.child.get_mut();
+        let _ = child.kill();
+        let _ = child.wait();
+        let _ = std::fs::remove_file(&self.errors);
     }
 }
 
+fn errors_file(program: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    folder.join(format!("{program}-{}.log", uuid::Uuid::now_v7().simple()))
+}
+
 /// A program of the workspace, beside this test's own.
 fn binary(program: &str) -> PathBuf {
     let test = std::env::current_exe().expect("the test has a path");
