Run shorts beside longs, wire the objective, refuse large prompts at once

Engines read by priority in chunks, so that a short waits for one chunk at most; the rule guarded against nothing else. `objective` was read and not used. Ruled out: a smaller backlog for each engine of the lane (no difference).

--- a/crates/entry/src/tables.rs
+++ b/crates/entry/src/tables.rs
@@ -15,11 +15,13 @@
 use policy::leaving::{LeavingSubject, LeavingTable, WorkVerdict};
 use policy::member::{MemberLimits, MemberStatus, MemberTable};
 use policy::poison::PoisonTable;
-use policy::pool::{EndpointSpec, GrantDecision, OwnerVerdict, PoolLimits, PoolTable, TicketId};
+use policy::pool::{
+    EndpointSpec, GrantDecision, OwnerVerdict, PoolLimits, PoolObjective, PoolTable, TicketId,
+};
 use policy::retry::{BudgetLimits, BudgetTable};
 use policy::steward::steward_of;
 use policy::template::ConfigBook;
-use settings::{EntrySettings, PoolSettings};
+use settings::{EntrySettings, Objective, PoolSettings};
 use timer::TimerService;
 use tokio::sync::oneshot;
 
@@ -294,7 +296,7 @@
 fn new_pool_table(settings: &EntrySettings, pool: &PoolSettings, born: u64) -> PoolTable {
     let limits = PoolLimits {
         long_tokens: settings.limits.long_tokens,
-        ..PoolLimits::default()
+        ..PoolLimits::new(pool_objective(settings.objective))
     };
     // Ids of an earlier table must not be mistaken for this one's.
     let first_id = born << ID_BITS;
@@ -309,5 +311,12 @@
     })
 }
 
+fn pool_objective(objective: Objective) -> PoolObjective {
+    match objective {
+        Objective::ShortSlowdown => PoolObjective::ShortSlowdown,
+        Objective::FirstToken => PoolObjective::FirstToken,
+    }
+}
+
 /// Ids that a table can give out each millisecond of its life before the next table's begin.
 const ID_BITS: u32 = 20;
--- a/crates/measure/src/costs.rs
+++ b/crates/measure/src/costs.rs
@@ -5,7 +5,7 @@
 
 use hdrhistogram::Histogram;
 use policy::ids::{EndpointId, TemplateId};
-use policy::pool::{EndpointSpec, GrantDecision, LanePolicy, PoolTable};
+use policy::pool::{EndpointSpec, GrantDecision, PoolObjective, PoolTable};
 use policy::template::{ClientAccount, ConfigBody, ConfigBook, ConfigDocument, account_key};
 use serde::Serialize;
 
@@ -54,7 +54,7 @@
 }
 
 fn pool(endpoints: usize) -> PoolTable {
-    let limits = Steward::limits(LanePolicy::Threshold { backlog: 4_000 });
+    let limits = Steward::limits(PoolObjective::ShortSlowdown);
     (0..endpoints).fold(PoolTable::new(limits, 1), |table, number| {
         table.with_endpoint(EndpointSpec {
             id: EndpointId::new(format!("engine-{number:05}")),
--- a/crates/measure/src/routers.rs
+++ b/crates/measure/src/routers.rs
@@ -3,7 +3,7 @@
 use policy::ids::{AccountId, EndpointId, Incarnation, InstanceId, Millis, OwnerId, RequestId};
 use policy::poison::Fingerprint;
 use policy::pool::{
-    EndpointSpec, Grant, GrantAsk, GrantDecision, GrantId, LanePolicy, PoolLimits, PoolTable,
+    EndpointSpec, Grant, GrantAsk, GrantDecision, GrantId, PoolLimits, PoolObjective, PoolTable,
     Sharing, TicketId,
 };
 
@@ -186,12 +186,11 @@
         }
     }
 
-    /// The limits with another way to size the long lane.
-    pub(crate) fn limits(lane: LanePolicy) -> PoolLimits {
+    /// The limits that suit an objective.
+    pub(crate) fn limits(objective: PoolObjective) -> PoolLimits {
         PoolLimits {
-            lane,
             long_tokens: SHORT_TOKENS,
-            ..PoolLimits::default()
+            ..PoolLimits::new(objective)
         }
     }
 
--- a/crates/measure/src/routing.rs
+++ b/crates/measure/src/routing.rs
@@ -5,7 +5,7 @@
 
 use clap::Args;
 use hdrhistogram::Histogram;
-use policy::pool::{GrantId, LanePolicy, TicketId};
+use policy::pool::{GrantId, LanePolicy, PoolLimits, PoolObjective, TicketId};
 use serde::Serialize;
 
 use crate::engine_model::{ChunkEnd, EngineModel, ModelStream, TOKEN_MICROS};
@@ -70,6 +70,12 @@
     /// First-token milliseconds by prompt length: p50, p95, p99.
     first_token_ms: Vec<(String, [u64; 3])>,
     short_p95_ms: u64,
+    /// p95 of all prompts that are not short.
+    long_p95_ms: u64,
+    /// Milliseconds from arrival to refusal: p50, p95, p99.
+    refusal_ms: [u64; 3],
+    /// Refusals later than 50 ms after arrival.
+    slow_refusals: usize,
     /// p95 of the shorts divided by their p95 without long prompts.
     short_slowdown: f64,
     /// Whole prompts and answers a second, in tokens, within the deadline.
@@ -100,7 +106,8 @@
     running: HashMap<usize, RunningItem>,
     waiting: HashMap<TicketId, usize>,
     first_token: Vec<Option<u64>>,
-    refused: Vec<bool>,
+    /// When requests were refused, in microseconds.
+    refused: Vec<Option<u64>>,
     now: u64,
     open: usize,
 }
@@ -119,7 +126,7 @@
             running: HashMap::new(),
             waiting: HashMap::new(),
             first_token: vec![None; items.len()],
-            refused: vec![false; items.len()],
+            refused: vec![None; items.len()],
             now: 0,
             open: items.len(),
         };
@@ -183,7 +190,7 @@
                 self.waiting.insert(ticket, number);
             }
             RouteDecision::Refuse => {
-                self.refused[number] = true;
+                self.refused[number] = Some(self.now);
                 self.open -= 1;
             }
             RouteDecision::Go {
@@ -260,6 +267,8 @@
 struct RunTimes {
     buckets: Vec<Histogram<u64>>,
     shorts: Histogram<u64>,
+    longs: Histogram<u64>,
+    refusals: Histogram<u64>,
 }
 
 impl RunTimes {
@@ -269,7 +278,15 @@
         let mut times = Self {
             buckets: BUCKETS.iter().map(|_| histogram()).collect(),
             shorts: histogram(),
+            longs: histogram(),
+            refusals: histogram(),
         };
+        for (item, refused) in run.items.iter().zip(&run.refused) {
+            if let Some(refused) = refused {
+                let millis = (refused - item.arrival) / 1_000;
+                times.refusals.saturating_record(millis);
+            }
+        }
         for (item, first) in run.items.iter().zip(&run.first_token) {
             let Some(first) = first else {
                 continue;
@@ -279,6 +296,8 @@
             times.buckets[bucket.unwrap_or(0)].saturating_record(millis);
             if item.prompt <= SHORT_TOKENS {
                 times.shorts.saturating_record(millis);
+            } else {
+                times.longs.saturating_record(millis);
             }
         }
         times
@@ -337,16 +356,21 @@
             Box::new(LeastOutstanding::new(MEMORY_TOKENS, 1))
         }),
         ("steward, fixed lane", |engines| {
-            steward(engines, LanePolicy::Fixed(engines * 3 / 5))
+            let limits = Steward::limits(PoolObjective::ShortSlowdown);
+            let size = engines * limits.lane_largest_percent / 100;
+            let lane = LanePolicy::Fixed(size);
+            steward(engines, PoolLimits { lane, ..limits })
         }),
-        ("steward, one threshold", |engines| {
-            steward(engines, LanePolicy::Threshold { backlog: 4_000 })
+        ("steward, short slowdown", |engines| {
+            steward(engines, Steward::limits(PoolObjective::ShortSlowdown))
+        }),
+        ("steward, first token", |engines| {
+            steward(engines, Steward::limits(PoolObjective::FirstToken))
         }),
     ]
 }
 
-fn steward(engines: usize, lane: LanePolicy) -> Box<dyn Router> {
-    let limits = Steward::limits(lane);
+fn steward(engines: usize, limits: PoolLimits) -> Box<dyn Router> {
     Box::new(Steward::new(
         engines,
         PREFILL_RATE,
@@ -374,20 +398,23 @@
     let short_p95 = times.shorts.value_at_quantile(0.95);
     let alone_p95 = alone.shorts.value_at_quantile(0.95).max(1);
     let buckets = BUCKETS.iter().zip(&times.buckets);
+    let quantiles = |histogram: &Histogram<u64>| {
+        [0.5, 0.95, 0.99].map(|quantile| histogram.value_at_quantile(quantile))
+    };
     RoutingRow {
         router: name.to_owned(),
         engines: args.engines,
         load_percent: load,
         requests: items.len(),
-        refused: run.refused.iter().filter(|refused| **refused).count(),
+        refused: run.refused.iter().flatten().count(),
         late: late(&run),
         first_token_ms: buckets
-            .map(|((name, _), histogram)| {
-                let at = |quantile| histogram.value_at_quantile(quantile);
-                ((*name).to_owned(), [at(0.5), at(0.95), at(0.99)])
-            })
+            .map(|((name, _), histogram)| ((*name).to_owned(), quantiles(histogram)))
             .collect(),
         short_p95_ms: short_p95,
+        long_p95_ms: times.longs.value_at_quantile(0.95),
+        refusal_ms: quantiles(&times.refusals),
+        slow_refusals: slow_refusals(&run),
         short_slowdown: as_float(short_p95) / as_float(alone_p95),
         goodput_tokens: goodput(&run),
         jain_index: jain_index(&run, args.accounts),
@@ -403,11 +430,23 @@
     let served = run.items.iter().zip(&run.first_token);
     served
         .zip(&run.refused)
-        .filter(|(_, refused)| !**refused)
+        .filter(|(_, refused)| refused.is_none())
         .filter(|((item, first), _)| first.is_none_or(|first| is_late(item, first)))
         .count()
 }
 
+/// Refusals that came later than the bound.
+fn slow_refusals(run: &RoutingRun<'_>) -> usize {
+    let refused = run.items.iter().zip(&run.refused);
+    refused
+        .filter_map(|(item, refused)| Some((*refused)? - item.arrival))
+        .filter(|micros| *micros > REFUSAL_BOUND)
+        .count()
+}
+
+/// Longest time until a refusal, in microseconds.
+const REFUSAL_BOUND: u64 = 50_000;
+
 /// Tokens of requests served in time, a second of the arrivals' span.
 fn goodput(run: &RoutingRun<'_>) -> u64 {
     let span = run.items.last().map_or(1, |item| item.arrival).max(1);
@@ -449,7 +488,7 @@
 fn print_row(row: &RoutingRow) {
     println!(
         "{:>3} engines {:>3} % {:<31} refused {:>5} late {:>5} short p95 {:>6} ms slowdown {:>6.2} \
-         goodput {:>8} jain {:.3}",
+         long p95 {:>6} ms goodput {:>8} jain {:.3} refusal p50/p95/p99 {:?} ms, {} slow",
         row.engines,
         row.load_percent,
         row.router,
@@ -457,8 +496,11 @@
         row.late,
         row.short_p95_ms,
         row.short_slowdown,
+        row.long_p95_ms,
         row.goodput_tokens,
         row.jain_index,
+        row.refusal_ms,
+        row.slow_refusals,
     );
     for (name, [p50, p95, p99]) in &row.first_token_ms {
         println!("      {name:>5}: p50 {p50:>6}  p95 {p95:>6}  p99 {p99:>6} ms");
--- a/crates/policy/src/pool/drain.rs
+++ b/crates/policy/src/pool/drain.rs
@@ -65,6 +65,7 @@
                 return;
             };
             self.queue(class).pop();
+            self.pace.granted(waiting.ticket, now);
             let mut grant = self.grant(&waiting.ask, class, placement, now);
             if now.saturating_sub(waiting.since) >= self.limits.long_wait / 2 {
                 grant.priority = grant.priority.raised();
@@ -84,13 +85,15 @@
     }
 
     /// Keeps endpoints free for the long request whose turn it is, so that one which needs much
-    /// memory gets it in the end.
+    /// memory gets it in the end. Kept endpoints stand idle, so that it first has to wait.
     fn keep_for(&mut self, waiting: &Waiting, class: WorkClass, now: Millis) {
         let is_kept = self
             .kept
             .as_ref()
             .is_some_and(|(ticket, _)| *ticket == waiting.ticket);
-        if class == WorkClass::Long && !is_kept {
+        let waited = now.saturating_sub(waiting.since);
+        let is_due = waited >= self.limits.keep_after;
+        if class == WorkClass::Long && is_due && !is_kept {
             let endpoints = self.view(&waiting.ask, now).reserve(&waiting.ask);
             self.kept = Some((waiting.ticket, endpoints));
         }
@@ -111,6 +114,7 @@
                 continue;
             };
             self.long_queue.take(&waiting.ask.account, waiting.ticket);
+            self.pace.granted(waiting.ticket, now);
             let grant = self.grant(&waiting.ask, class, placement, now);
             decided.push((waiting.ticket, GrantDecision::Granted(grant)));
         }
@@ -129,6 +133,7 @@
         over.extend(self.alone.remove_where(|waiting| now >= waiting.deadline));
         over.into_iter()
             .map(|waiting| {
+                self.pace.forget(waiting.ticket);
                 let reason = if now >= waiting.deadline {
                     RefusalReason::DeadlinePassed
                 } else {
--- a/crates/policy/src/pool/mod.rs
+++ b/crates/policy/src/pool/mod.rs
@@ -10,6 +10,8 @@
 mod endpoint;
 mod health;
 mod lane;
+mod limits;
+mod pace;
 mod place;
 mod queue;
 mod reconcile;
@@ -23,6 +25,7 @@
 pub use endpoint::{EndpointSpec, EndpointState, RunningGrant};
 pub use health::{CacheChange, ORPHAN_GRACE, UNLISTED_GRACE};
 pub use lane::{LanePolicy, LongLane};
+pub use limits::{PoolLimits, PoolObjective};
 pub use queue::{FairQueue, Waiting};
 pub use reconcile::{EngineListing, HeldMemory, Reconciliation, RunningStream};
-pub use table::{PoolCounts, PoolLimits, PoolTable};
+pub use table::{PoolCounts, PoolTable};
--- a/crates/policy/src/pool/place.rs
+++ b/crates/policy/src/pool/place.rs
@@ -7,6 +7,9 @@
 use crate::ids::{EndpointId, Millis};
 use crate::prefix::PrefixIndex;
 
+/// Tokens of a prompt that engines read before they look at priorities again.
+const READ_CHUNK_TOKENS: u64 = 2_048;
+
 /// Where an ask could run.
 #[derives::value]
 pub(super) struct Placement {
@@ -58,7 +61,7 @@
             .values()
             .filter(move |state| state.is_open(now))
             .enumerate()
-            .filter(move |(index, state)| is_allowed(*index, state, class, lane_size))
+            .filter(move |(index, _)| is_allowed(*index, class, lane_size))
             .map(|(_, state)| state)
             .filter(|state| !self.reserved.contains(&&state.spec.id))
             .filter(|state| self.pinned.is_none_or(|pinned| *pinned == state.spec.id))
@@ -73,7 +76,7 @@
             .filter(|state| state.free_tokens() >= tokens)
             .map(|state| {
                 let prefill = self.prefill(ask, state);
-                let first_token = state.start_delay(self.priority, self.now) + prefill;
+                let first_token = self.start_delay(state, class) + prefill;
                 (first_token, state.running(), prefill, state)
             })
             .min_by_key(|(first_token, running, _, _)| (*first_token, *running))?;
@@ -103,7 +106,7 @@
         }
         let lead = *states.first()?;
         let prefill = self.prefill(ask, lead);
-        let first_token = lead.start_delay(self.priority, self.now) + prefill;
+        let first_token = self.start_delay(lead, class) + prefill;
         Some(Placement {
             parts: split(tokens, &states),
             prefill,
@@ -139,6 +142,16 @@
             .any(|state| state.spec.memory_tokens >= tokens)
     }
 
+    /// Milliseconds until `state` would start to read the prompt. Beside a long prompt, a short one
+    /// also waits for the chunk that is being read.
+    fn start_delay(&self, state: &EndpointState, class: WorkClass) -> Millis {
+        let delay = state.start_delay(self.priority, self.now);
+        if class == WorkClass::Long || state.long_grants() == 0 {
+            return delay;
+        }
+        delay + state.spec.prefill_millis(READ_CHUNK_TOKENS)
+    }
+
     fn prefill(&self, ask: &GrantAsk, state: &EndpointState) -> Millis {
         let cached = self.prefixes.cached_tokens(&ask.prefixes, &state.spec.id);
         let uncached = ask.prompt_tokens.saturating_sub(cached);
@@ -146,11 +159,11 @@
     }
 }
 
-/// Longs run in the lane only; shorts keep out of endpoints that run a long.
-fn is_allowed(index: usize, state: &EndpointState, class: WorkClass, lane_size: usize) -> bool {
+/// Longs run in the lane only; engines read shorts first, so that these run anywhere.
+fn is_allowed(index: usize, class: WorkClass, lane_size: usize) -> bool {
     match class {
         WorkClass::Long => index < lane_size,
-        WorkClass::Short => state.long_grants() == 0,
+        WorkClass::Short => true,
     }
 }
 
--- a/crates/policy/src/pool/refuse.rs
+++ b/crates/policy/src/pool/refuse.rs
@@ -6,6 +6,10 @@
 use crate::ids::Millis;
 use crate::outcome::{Refusal, RefusalReason};
 
+/// The pace of large prompts gives a mean wait; this many times the mean leaves few to wait in
+/// vain.
+const PACE_MARGIN: Millis = 2;
+
 impl PoolTable {
     pub(super) fn refuse_outright(&self, ask: &GrantAsk, now: Millis) -> Option<Refusal> {
         if ask.time_left == 0 {
@@ -39,7 +43,10 @@
             WorkClass::Short => (&self.short_queue, self.limits.short_wait),
             WorkClass::Long => (&self.long_queue, self.limits.long_wait),
         };
-        let wait = self.expected_wait(class);
+        let mut wait = self.expected_wait(class);
+        if self.is_large(ask) {
+            wait = wait.max(PACE_MARGIN * self.pace.expected_wait());
+        }
         let bound = longest.min(ask.time_left);
         if wait > bound {
             return Some(Refusal::new(RefusalReason::Overloaded, wait));
--- a/crates/policy/src/pool/table.rs
+++ b/crates/policy/src/pool/table.rs
@@ -7,7 +7,9 @@
     Grant, GrantAsk, GrantDecision, GrantId, GrantPart, ReadPriority, Sharing, TicketId, WorkClass,
 };
 use super::endpoint::{EndpointHealth, EndpointSpec, EndpointState, hold_of};
-use super::lane::{LanePolicy, LongLane};
+use super::lane::LongLane;
+use super::limits::PoolLimits;
+use super::pace::GrantPace;
 use super::place::{PlaceView, Placement};
 use super::queue::{FairQueue, Waiting};
 use crate::ids::{AttemptId, EndpointId, Millis};
@@ -15,45 +17,6 @@
 use crate::poison::Fingerprint;
 use crate::prefix::PrefixIndex;
 
-/// Bounds of one pool.
-#[derives::value]
-pub struct PoolLimits {
-    /// Prompts of more tokens than this are long.
-    pub long_tokens: u64,
-    /// How the long lane follows the backlog.
-    pub lane: LanePolicy,
-    /// Endpoints always in the lane.
-    pub lane_smallest: usize,
-    /// Largest share of the pool that the lane takes, in hundredths.
-    pub lane_largest_percent: usize,
-    /// Endpoints over which one prompt may be spread.
-    pub largest_span: usize,
-    /// Longest wait of a short request that is still queued, in milliseconds.
-    pub short_wait: Millis,
-    /// Longest wait of a long request that is still queued, in milliseconds.
-    pub long_wait: Millis,
-    /// How long a failed endpoint is left alone, in milliseconds.
-    pub down_time: Millis,
-    /// Prefixes remembered.
-    pub prefixes: usize,
-}
-
-impl Default for PoolLimits {
-    fn default() -> Self {
-        Self {
-            long_tokens: 32_768,
-            lane: LanePolicy::Threshold { backlog: 4_000 },
-            lane_smallest: 1,
-            lane_largest_percent: 60,
-            largest_span: 4,
-            short_wait: 800,
-            long_wait: 60_000,
-            down_time: 2_000,
-            prefixes: 65_536,
-        }
-    }
-}
-
 /// What a pool holds and what waits for it.
 #[derives::value]
 pub struct PoolCounts {
@@ -93,6 +56,7 @@
     pub(super) alone: AloneQueue,
     /// Endpoints kept free for the long request whose turn it is.
     pub(super) kept: Option<(TicketId, Vec<EndpointId>)>,
+    pub(super) pace: GrantPace,
     pub(super) lane: LongLane,
     pub(super) prefixes: PrefixIndex,
     pub(super) mean_hold: Millis,
@@ -117,6 +81,7 @@
             long_queue: FairQueue::new(),
             alone: AloneQueue::new(),
             kept: None,
+            pace: GrantPace::default(),
             lane,
             prefixes,
             mean_hold: 0,
@@ -229,6 +194,9 @@
     fn enqueue(&mut self, ask: GrantAsk, class: WorkClass, now: Millis) -> TicketId {
         let waiting = self.waiting(ask, now);
         let ticket = waiting.ticket;
+        if self.is_large(&waiting.ask) {
+            self.pace.wait(ticket, now);
+        }
         self.queue(class).push(waiting);
         if class == WorkClass::Long {
             self.follow_lane();
@@ -238,6 +206,7 @@
 
     /// Forgets a waiting ask whose caller has gone.
     pub fn abandon(&mut self, ticket: TicketId) {
+        self.pace.forget(ticket);
         self.short_queue
             .remove_where(|waiting| waiting.ticket == ticket);
         self.long_queue
@@ -359,13 +328,21 @@
         self.lane.follow(self.long_work + queued, needed);
     }
 
+    fn largest_memory(&self) -> u64 {
+        let states = self.endpoints.values();
+        let memory = states.map(|state| state.spec.memory_tokens);
+        memory.max().unwrap_or(1).max(1)
+    }
+
+    /// Whether a prompt needs more than half of an endpoint's memory, so that it waits for one to
+    /// empty.
+    pub(super) fn is_large(&self, ask: &GrantAsk) -> bool {
+        ask.memory_tokens() > self.largest_memory() / 2
+    }
+
     /// Endpoints over which the next waiting long prompt has to be spread.
     fn needed_span(&mut self) -> usize {
-        let memory = self
-            .endpoints
-            .values()
-            .map(|state| state.spec.memory_tokens);
-        let largest = memory.max().unwrap_or(1).max(1);
+        let largest = self.largest_memory();
         let head = self.long_queue.head();
         let tokens = head.map_or(0, |waiting| waiting.ask.memory_tokens());
         usize::try_from(tokens.div_ceil(largest)).unwrap_or(usize::MAX)
