--- a/crates/caller/src/refusal.rs
+++ b/crates/caller/src/refusal.rs
@@ -96,6 +96,7 @@
         }
         RefusalReason::Overloaded
         | RefusalReason::NoEndpoint
+        | RefusalReason::ModelLoading
         | RefusalReason::NotReady
         | RefusalReason::PlatformDown => StatusCode::SERVICE_UNAVAILABLE,
     }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -187,11 +187,11 @@
         let target = self.completion.rules[self.rule].target();
         let pool = self.desk.tables.pool_of_model(target);
         let pool = pool.ok_or(Refusal::new(RefusalReason::UnknownModel, 0))?;
-        let ask = self.ask(excluded);
+        let ask = self.ask(target, excluded);
         self.desk.grants.ask(&pool, &ask).await
     }
 
-    fn ask(&self, excluded: &[EndpointId]) -> GrantAsk {
+    fn ask(&self, model: &str, excluded: &[EndpointId]) -> GrantAsk {
         let completion = &self.completion;
         let left = completion
             .deadline
@@ -202,6 +202,7 @@
             fingerprint: completion.fingerprint,
             account: completion.account.clone(),
             weight: completion.weight,
+            model: model.to_owned(),
             prompt_tokens: completion.prompt_bytes / BYTES_PER_TOKEN + 1,
             output_tokens: completion.output_tokens,
             prefixes: completion.prefixes.clone(),
@@ -414,6 +415,7 @@
         reason,
         RefusalReason::Overloaded
             | RefusalReason::NoEndpoint
+            | RefusalReason::ModelLoading
             | RefusalReason::AccountLimit
             | RefusalReason::UnknownModel
             | RefusalReason::PromptTooLarge
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -53,6 +53,7 @@
         control.spawn(control.clone().run_queues());
         control.spawn(control.clone().run_listings());
         control.spawn(control.clone().run_configuration());
+        control.spawn(control.clone().run_orders());
     }
 
     /// Answers the messages of other entry instances.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,8 @@
 mod lifecycle;
 mod membership;
 mod operators;
+mod order_lease;
+mod orders;
 mod peer_answers;
 mod ports;
 mod registration;
--- /dev/null
+++ b/crates/entry/src/order_lease.rs
@@ -0,0 +1,111 @@
+//! The platform lease of a failure domain's order holder.
+
+use platform::{CasVerdict, KeyValueFault, LeaseId, LeaseState};
+use policy::order::{HeldLease, OrderLimits};
+
+use crate::control::Control;
+
+/// Prefix of the keys that name the order holders.
+const ORDER_PREFIX: &str = "orders/";
+
+/// A lease with what is needed to renew it and give it back.
+#[derives::value]
+pub(crate) struct OrderLease {
+    pub(crate) held: HeldLease,
+    id: LeaseId,
+}
+
+impl Control {
+    /// Renews the lease, or takes it where nobody holds it; none where another does or the
+    /// platform does not say.
+    pub(crate) async fn keep_order_lease(
+        &self,
+        lease: Option<OrderLease>,
+        limits: &OrderLimits,
+    ) -> Option<OrderLease> {
+        match lease {
+            Some(lease) => self.renew_order_lease(lease, limits).await,
+            None => self.take_order_lease(limits).await,
+        }
+    }
+
+    async fn renew_order_lease(
+        &self,
+        mut lease: OrderLease,
+        limits: &OrderLimits,
+    ) -> Option<OrderLease> {
+        let asked = self.tables.now();
+        if asked < lease.held.renewed + limits.lease / 3 {
+            return Some(lease);
+        }
+        self.tables.metrics.platform_calls.inc();
+        match self.ports.platform.renew_lease(lease.id).await {
+            Ok(LeaseState::Renewed) => {
+                lease.held.renewed = asked;
+                Some(lease)
+            }
+            Ok(LeaseState::Lapsed) => None,
+            Err(_) => {
+                self.tables.metrics.platform_faults.inc();
+                let end = lease.held.renewed + limits.lease;
+                (self.tables.now() < end).then_some(lease)
+            }
+        }
+    }
+
+    async fn take_order_lease(&self, limits: &OrderLimits) -> Option<OrderLease> {
+        let key = self.order_key();
+        let token = format!(
+            "{} {:032x}",
+            self.tables.settings.instance,
+            self.tables.identity.unique_id()
+        );
+        let asked = self.tables.now();
+        self.tables.metrics.platform_calls.inc();
+        if let Ok(None) = self.ports.platform.get(&key).await {
+            self.tables.metrics.platform_calls.inc();
+            let id = self.ports.platform.grant_lease(limits.lease).await.ok()?;
+            let fencing = self.write_holder(&key, &token, id).await?;
+            let held = HeldLease {
+                fencing,
+                renewed: asked,
+                since: self.tables.now(),
+            };
+            return Some(OrderLease { held, id });
+        }
+        None
+    }
+
+    /// Writes this instance's token as the holder's; an answer that was lost is settled by reading
+    /// the token back.
+    async fn write_holder(&self, key: &str, token: &str, lease: LeaseId) -> Option<u64> {
+        let platform = &self.ports.platform;
+        self.tables.metrics.platform_calls.inc();
+        let verdict = platform.compare_and_swap(key, token, 0, Some(lease)).await;
+        match verdict {
+            Ok(CasVerdict::Written(revision)) => Some(revision),
+            Ok(CasVerdict::Conflict(_)) | Err(KeyValueFault::Unreachable) => None,
+            Err(KeyValueFault::AnswerLost | KeyValueFault::Unreadable) => {
+                self.tables.metrics.platform_faults.inc();
+                self.tables.metrics.platform_calls.inc();
+                let stored = platform.get(key).await.ok()??;
+                (stored.value == token).then_some(stored.revision)
+            }
+        }
+    }
+
+    /// Lets the next holder begin without waiting for the lease to lapse.
+    pub(crate) async fn return_order_lease(&self, lease: &OrderLease) {
+        self.tables.metrics.platform_calls.inc();
+        // A deletion that is lost costs the next holder the rest of the lease.
+        let _ = self
+            .ports
+            .platform
+            .delete(&self.order_key(), lease.held.fencing)
+            .await;
+    }
+
+    fn order_key(&self) -> String {
+        format!("{ORDER_PREFIX}{}", self.tables.domain())
+    }
+}
--- a/crates/entry/src/peer_answers.rs
+++ b/crates/entry/src/peer_answers.rs
@@ -4,6 +4,7 @@
 
 use futures::FutureExt;
 use peer::{ApplyReport, DocumentBatch, PeerFuture, PeerHandler, ProbeMessage, RelayVerdict};
+use policy::demand::PoolDemand;
 use policy::ids::{EndpointId, InstanceId, PoolId};
 use policy::leaving::Announcement;
 use policy::member::MemberStatus;
@@ -117,6 +118,10 @@
         }
     }
 
+    fn demand(&self, pool: &PoolId, changing: &[EndpointId]) -> PoolDemand {
+        self.control.tables.pool_demand(pool, changing)
+    }
+
     fn quarantined(&self) -> Vec<Fingerprint> {
         let tables = &self.control.tables;
         let now = tables.now();
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -9,6 +9,7 @@
 use peer::PeerPort;
 use platform::KeyValue;
 use service::ServiceClient;
+use weights::WeightStore;
 
 /// The wall clock and unique ids.
 pub trait IdentitySource: Send + Sync {
@@ -35,6 +36,8 @@
     pub platform: Rc<dyn KeyValue>,
     /// Model engines.
     pub engines: Rc<dyn EngineClient>,
+    /// The weight store.
+    pub weights: Rc<dyn WeightStore>,
     /// Other entry instances.
     pub peers: Rc<dyn PeerPort>,
     /// Runs the control thread's tasks.
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -16,6 +16,7 @@
 use platform::HttpPlatform;
 use service::HttpServices;
 use settings::{EntrySettings, LimitSettings};
+use weights::HttpWeights;
 
 use crate::core::{EntryCore, GatewayFactory};
 use crate::identity::SystemIdentity;
@@ -101,6 +102,7 @@
     ControlPorts {
         platform: Rc::new(HttpPlatform::new(address.key_value, address.instances).await),
         engines: Rc::new(http_engines(&settings.limits).await),
+        weights: Rc::new(HttpWeights::new(address.weights).await),
         peers: Rc::new(PeerLinks::new(PEER_ANSWER)),
         spawner: Rc::new(LocalSpawner),
     }
--- a/crates/entry/src/stewardship.rs
+++ b/crates/entry/src/stewardship.rs
@@ -7,6 +7,7 @@
 use policy::ids::{AttemptId, EndpointId, Millis, PoolId};
 use policy::pool::Reconciliation;
 use policy::steward::steward_of;
+use settings::PoolLoading;
 
 use crate::completion_holds::{DisownVerdict, EngineHold};
 use crate::control::Control;
@@ -96,14 +97,28 @@
         let Some(found) = settings.pools.iter().find(|one| one.name == pool.as_str()) else {
             return;
         };
-        let listings = found.engines.iter().map(|engine| {
+        let listings = found.engines.iter().map(|engine| async {
             let endpoint = EndpointId::new(&engine.name);
-            self.list_engine(pool, endpoint, engine.address)
+            if found.loading == PoolLoading::Managed {
+                self.read_model(pool, &endpoint, engine.address).await;
+            }
+            self.list_engine(pool, endpoint, engine.address).await;
         });
         join_all(listings).await;
         drain(&self.tables, pool);
     }
 
+    /// Learns which model an engine has loaded; without an answer nothing new goes there, since
+    /// its list will have none either.
+    async fn read_model(&self, pool: &PoolId, endpoint: &EndpointId, address: SocketAddr) {
+        let Some(desk) = self.tables.pools.get(pool) else {
+            return;
+        };
+        if let Ok(report) = self.ports.engines.report(address).await {
+            desk.lock().table.endpoint_model(endpoint, &report.model);
+        }
+    }
+
     async fn list_engine(
         self: &Rc<Self>,
         pool: &PoolId,
--- a/crates/entry/src/tables.rs
+++ b/crates/entry/src/tables.rs
@@ -9,6 +9,7 @@
 
 use metrics::EntryMetrics;
 use parking_lot::{Mutex, RwLock};
+use policy::demand::PoolDemand;
 use policy::ids::{
     AccountId, DomainId, EndpointId, Incarnation, InstanceId, Millis, OwnerId, PoolId,
 };
@@ -21,7 +22,7 @@
 use policy::retry::{BudgetLimits, BudgetTable};
 use policy::steward::steward_of;
 use policy::template::ConfigBook;
-use settings::{EntrySettings, Objective, PoolSettings};
+use settings::{EntrySettings, Objective, PoolLoading, PoolSettings};
 use timer::TimerService;
 use tokio::sync::oneshot;
 
@@ -281,6 +282,21 @@
         Some(PoolId::new(&pool.name))
     }
 
+    /// What a pool's models are asked for, as its steward; endpoints that are to change their
+    /// model are given nothing new.
+    pub(crate) fn pool_demand(&self, pool: &PoolId, changing: &[EndpointId]) -> PoolDemand {
+        let now = self.now();
+        let Some(desk) = self.pools.get(pool) else {
+            return PoolDemand::none();
+        };
+        let mut desk = desk.lock();
+        if self.keeps(&desk) != StewardRole::Steward {
+            return PoolDemand::none();
+        }
+        desk.table.change_models(changing, now);
+        desk.table.demand(now)
+    }
+
     /// Forgets a pool's grants, to be rebuilt from the engines' own lists.
     pub(crate) fn restart_pool(&self, pool: &PoolId, desk: &mut PoolDesk) {
         let settings = &self.settings;
@@ -301,14 +317,20 @@
     // Ids of an earlier table must not be mistaken for this one's.
     let first_id = born << ID_BITS;
     let table = PoolTable::new(limits, first_id);
-    pool.engines.iter().fold(table, |table, engine| {
+    let mut table = pool.engines.iter().fold(table, |table, engine| {
         table.with_unlisted(EndpointSpec {
             id: EndpointId::new(&engine.name),
             slots: engine.slots,
             memory_tokens: engine.memory_tokens,
             prefill_rate: engine.prefill_rate,
         })
-    })
+    });
+    if pool.loading == PoolLoading::Managed {
+        for engine in &pool.engines {
+            table.endpoint_model(&EndpointId::new(&engine.name), "");
+        }
+    }
+    table
 }
 
 fn pool_objective(objective: Objective) -> PoolObjective {
--- a/crates/measure/src/routers.rs
+++ b/crates/measure/src/routers.rs
@@ -231,6 +231,7 @@
         fingerprint: Fingerprint(u64::try_from(number).unwrap_or(0) + 1),
         account: AccountId::new(format!("account-{}", item.account)),
         weight: 1,
+        model: String::new(),
         prompt_tokens: item.prompt,
         output_tokens: item.answer,
         prefixes: Vec::new(),
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -14,6 +14,9 @@
     0.05, 0.1, 0.2, 0.4, 0.6, 0.96, 1.5, 3.0, 6.0, 12.0, 30.0, 60.0,
 ];
 
+/// What engines answer to orders, as labels.
+pub const ORDER_ANSWERS: [&str; 4] = ["taken", "fenced", "busy", "lost"];
+
 /// The metrics of one entry instance.
 #[derive(Debug)]
 pub struct EntryMetrics {
@@ -44,6 +47,9 @@
     pub rejoins: IntCounter,
     /// Messages between entry instances, sent and answered.
     pub peer_messages: IntCounter,
+    /// Whether this instance holds its failure domain's lease for orders.
+    pub order_holder: IntGauge,
+    orders: IntCounterVec,
     /// Endpoints seen to crash while a request ran on them.
     pub endpoint_crashes: IntCounter,
 }
@@ -95,6 +101,10 @@
         );
         let retries = by_reason("retries_total", "Attempts that followed another.");
         touch_reasons(&refusals, &unfinished, &retries);
+        let orders = by_reason("orders_total", "Orders to engines, by their answer.");
+        for answer in ORDER_ANSWERS {
+            orders.with_label_values(&[answer]).reset();
+        }
         Self {
             refusals,
             unfinished,
@@ -111,6 +121,8 @@
             platform_calls: counter("platform_calls_total", "Key-value service calls."),
             platform_faults: counter("platform_faults_total", "Key-value service calls failed."),
             rejoins: counter("rejoins_total", "New incarnations after a pause."),
+            order_holder: gauge("order_holder", "Holds the lease for orders."),
+            orders,
             peer_messages: counter("peer_messages_total", "Messages between instances."),
             endpoint_crashes: counter("endpoint_crashes_total", "Endpoint crashes seen."),
             registry,
@@ -127,6 +139,11 @@
         self.unfinished.with_label_values(&[reason.code()]).inc();
     }
 
+    /// Counts an order to an engine by its answer, one of `ORDER_ANSWERS`.
+    pub fn ordered(&self, answer: &str) {
+        self.orders.with_label_values(&[answer]).inc();
+    }
+
     /// Counts a retry.
     pub fn retried(&self, reason: RetryReason) {
         self.retries.with_label_values(&[reason.code()]).inc();
--- a/crates/peer-schema/schema/peer.capnp
+++ b/crates/peer-schema/schema/peer.capnp
@@ -50,6 +50,7 @@
   sharing @9 :Sharing;
   excluded @10 :List(Text);
   fingerprint @11 :UInt64;
+  model @12 :Text;
 }
 
 struct Part {
@@ -111,4 +112,8 @@
 
   # Crash reports of prompts that are quarantined.
   quarantined @10 () -> (fingerprints :List(UInt64));
+
+  # Tells the steward of a pool which endpoints are to change their model; answers with what the
+  # pool's models are asked for (JSON).
+  demand @11 (pool :Text, changing :List(Text)) -> (demand :Text);
 }
--- a/crates/peer-schema/src/peer_capnp.rs
+++ b/crates/peer-schema/src/peer_capnp.rs
@@ -1787,6 +1787,17 @@
         pub fn get_fingerprint(self) -> u64 {
             self.reader.get_data_field::<u64>(6)
         }
+        #[inline]
+        pub fn get_model(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_model(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -1796,7 +1807,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 7,
-                pointers: 4,
+                pointers: 5,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -2061,6 +2072,33 @@
         pub fn set_fingerprint(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(6, value);
         }
+        #[inline]
+        pub fn get_model(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_model(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(4),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_model(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(4).init_text(size)
+        }
+        #[inline]
+        pub fn has_model(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
     }
 
     pub struct Pipeline {
@@ -2079,107 +2117,114 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 212] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 227] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(208, 223, 216, 236, 99, 229, 125, 221),
             ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(144, 71, 232, 178, 246, 161, 197, 211),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 167, 2, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 65, 115, 107, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(173, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(111, 119, 110, 101, 114, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(49, 223, 230, 103, 115, 71, 149, 179),
@@ -2292,6 +2337,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 111, 100, 101, 108, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2307,6 +2360,7 @@
                 9 => <crate::peer_capnp::Sharing as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                12 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2325,9 +2379,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 10, 11, 6, 0, 7, 5, 1, 2, 9, 8, 4];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 10, 11, 12, 6, 0, 7, 5, 1, 2, 9, 8, 4];
         pub(crate) const TYPE_ID: u64 = 0xdd7d_e563_ecd8_dfd0;
     }
 }
@@ -4132,6 +4186,10 @@
         ::capnp::capability::Params<crate::peer_capnp::peer::quarantined_params::Owned>;
     pub type QuarantinedResults =
         ::capnp::capability::Results<crate::peer_capnp::peer::quarantined_results::Owned>;
+    pub type DemandParams =
+        ::capnp::capability::Params<crate::peer_capnp::peer::demand_params::Owned>;
+    pub type DemandResults =
+        ::capnp::capability::Results<crate::peer_capnp::peer::demand_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -4310,6 +4368,15 @@
             self.client
                 .new_call(_private::TYPE_ID, 10, ::core::option::Option::None)
         }
+        pub fn demand_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::peer_capnp::peer::demand_params::Owned,
+            crate::peer_capnp::peer::demand_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 11, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn probe(
@@ -4411,6 +4478,15 @@
                 "method peer::Server::quarantined not implemented".to_string(),
             )))
         }
+        fn demand(
+            self: ::capnp::capability::Rc<Self>,
+            _: DemandParams,
+            _: DemandResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::demand not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -4554,6 +4630,14 @@
                     )),
                     false,
                 ),
+                11 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::demand(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -11741,4 +11825,701 @@
             pub(crate) const TYPE_ID: u64 = 0xd7da_cfa6_3f43_5315;
         }
     }
+
+    pub mod demand_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_pool(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_pool(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_changing(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_changing(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 0,
+                    pointers: 2,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_pool(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_pool(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_pool(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_pool(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_changing(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_changing(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(1),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_changing(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(1),
+                    size,
+                )
+            }
+            #[inline]
+            pub fn has_changing(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(2, 181, 8, 208, 236, 56, 202, 178),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(100, 101, 109, 97, 110, 100, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 111, 111, 108, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 104, 97, 110, 103, 105, 110, 103),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => {
+                        <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect()
+                    }
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) const TYPE_ID: u64 = 0xb2ca_38ec_d008_b502;
+        }
+    }
+
+    pub mod demand_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_demand(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_demand(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 0,
+                    pointers: 1,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_demand(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_demand(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_demand(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_demand(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(149, 165, 115, 193, 18, 152, 187, 205),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(100, 101, 109, 97, 110, 100, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 101, 109, 97, 110, 100, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xcdbb_9812_c173_a595;
+        }
+    }
 }
--- a/crates/peer/src/handler.rs
+++ b/crates/peer/src/handler.rs
@@ -1,6 +1,7 @@
 //! What an entry instance answers to others, as a trait at the border of the package.
 
 use futures::future::LocalBoxFuture;
+use policy::demand::PoolDemand;
 use policy::ids::{EndpointId, PoolId};
 use policy::leaving::Announcement;
 use policy::member::MemberUpdate;
@@ -94,6 +95,10 @@
     /// Takes news of an endpoint that failed.
     fn failed(&self, pool: &PoolId, endpoint: &EndpointId);
 
+    /// Gives nothing new to endpoints that are to change their model; answers with what the
+    /// pool's models are asked for.
+    fn demand(&self, pool: &PoolId, changing: &[EndpointId]) -> PoolDemand;
+
     /// The quarantined fingerprints.
     fn quarantined(&self) -> Vec<Fingerprint>;
 }
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -10,6 +10,7 @@
 use capnp_rpc::{RpcSystem, twoparty};
 use futures::{AsyncReadExt, FutureExt};
 use peer_schema::peer_capnp::peer;
+use policy::demand::PoolDemand;
 use policy::ids::{EndpointId, PoolId};
 use policy::leaving::Announcement;
 use policy::poison::{CrashReport, Fingerprint};
@@ -305,6 +306,29 @@
         .boxed_local()
     }
 
+    fn demand<'a>(
+        &'a self,
+        address: &'a str,
+        pool: &'a PoolId,
+        changing: &'a [EndpointId],
+    ) -> PeerAnswer<'a, PoolDemand> {
+        async move {
+            self.exchange(address, self.answer_time, async |client| {
+                let mut request = client.demand_request();
+                request.get().set_pool(pool.as_str());
+                let length = list_length(changing.len())?;
+                let mut list = request.get().init_changing(length);
+                for (index, endpoint) in (0..length).zip(changing) {
+                    list.set(index, endpoint.as_str());
+                }
+                let answer = request.send().promise.await?;
+                from_json(answer.get()?.get_demand()?.to_str()?)
+            })
+            .await
+        }
+        .boxed_local()
+    }
+
     fn quarantined<'a>(&'a self, address: &'a str) -> PeerAnswer<'a, Vec<Fingerprint>> {
         async move {
             self.exchange(address, self.answer_time, async |client| {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -121,6 +121,7 @@
     form.set_fingerprint(ask.fingerprint.0);
     form.set_account(ask.account.as_str());
     form.set_weight(ask.weight);
+    form.set_model(&ask.model);
     form.set_prompt_tokens(ask.prompt_tokens);
     form.set_output_tokens(ask.output_tokens);
     form.set_time_left(ask.time_left);
@@ -160,6 +161,7 @@
         fingerprint: Fingerprint(form.get_fingerprint()),
         account: AccountId::new(form.get_account()?.to_str()?),
         weight: form.get_weight(),
+        model: form.get_model()?.to_string()?,
         prompt_tokens: form.get_prompt_tokens(),
         output_tokens: form.get_output_tokens(),
         prefixes: prefixes.collect(),
--- a/crates/peer/src/port.rs
+++ b/crates/peer/src/port.rs
@@ -1,5 +1,6 @@
 //! What an entry instance sends to others, as a trait at the border of the package.
 
+use policy::demand::PoolDemand;
 use policy::ids::{EndpointId, PoolId};
 use policy::leaving::Announcement;
 use policy::poison::{CrashReport, Fingerprint};
@@ -88,6 +89,15 @@
         endpoint: &'a EndpointId,
     ) -> PeerAnswer<'a, ()>;
 
+    /// Tells a pool's steward which endpoints are to change their model, and asks what the
+    /// pool's models are asked for.
+    fn demand<'a>(
+        &'a self,
+        address: &'a str,
+        pool: &'a PoolId,
+        changing: &'a [EndpointId],
+    ) -> PeerAnswer<'a, PoolDemand>;
+
     /// Reads the quarantined fingerprints.
     fn quarantined<'a>(&'a self, address: &'a str) -> PeerAnswer<'a, Vec<Fingerprint>>;
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -184,6 +184,23 @@
         Ok(())
     }
 
+    async fn demand(
+        self: Rc<Self>,
+        params: peer::DemandParams,
+        mut results: peer::DemandResults,
+    ) -> Result<(), Error> {
+        let form = params.get()?;
+        let pool = PoolId::new(form.get_pool()?.to_str()?);
+        let changing: Vec<EndpointId> = form
+            .get_changing()?
+            .iter()
+            .map(|text| Ok(EndpointId::new(text?.to_str()?)))
+            .collect::<Result<_, Error>>()?;
+        let demand = self.handler.demand(&pool, &changing);
+        results.get().set_demand(to_json(&demand)?);
+        Ok(())
+    }
+
     async fn quarantined(
         self: Rc<Self>,
         _params: peer::QuarantinedParams,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod call;
 pub mod claim;
+pub mod demand;
 pub mod flow;
 pub mod frame;
 pub mod ids;
--- a/crates/policy/src/order.rs
+++ b/crates/policy/src/order.rs
@@ -3,7 +3,7 @@
 //! One holder per failure domain has a platform lease; the lease's version is the fencing number
 //! of its orders. Orders state the desired model, so that giving one twice does no harm.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::ids::{EndpointId, Millis};
 
@@ -114,12 +114,23 @@
     pub model: String,
 }
 
-/// Which model each engine should serve: what is loaded stays where demand allows, and demand
-/// that shrinks frees engines rather than spreading thinner.
+/// What becomes of engines that no model needs.
+#[derives::tag]
+pub enum SurplusRule {
+    /// They keep what they have loaded.
+    Keep,
+    /// They unload it.
+    Unload,
+}
+
+/// Which model each engine should serve: what is loaded stays where demand allows, on the engines
+/// that run most, and demand that shrinks frees engines rather than spreading thinner. An empty
+/// model is an engine to be unloaded; engines that are not named stay as they are.
 #[must_use]
 pub fn desired_models(
     engines: &BTreeMap<EndpointId, EngineState>,
     demands: &[ModelDemand],
+    surplus: SurplusRule,
 ) -> BTreeMap<EndpointId, String> {
     let mut wanted: BTreeMap<&str, usize> = demands
         .iter()
@@ -127,7 +138,9 @@
         .collect();
     let mut desired = BTreeMap::new();
     let mut free: Vec<&EndpointId> = Vec::new();
-    for (endpoint, state) in engines {
+    let mut busiest: Vec<(&EndpointId, &EngineState)> = engines.iter().collect();
+    busiest.sort_by_key(|(_, state)| std::cmp::Reverse(state.running));
+    for (endpoint, state) in busiest {
         match wanted.get_mut(state.model.as_str()) {
             Some(count) if *count > 0 => {
                 *count -= 1;
@@ -137,44 +150,62 @@
         }
     }
     free.sort_by_key(|endpoint| engines[*endpoint].running);
-    let mut missing: Vec<(&str, usize)> = wanted.into_iter().collect();
-    missing.sort_by_key(|(model, count)| (std::cmp::Reverse(*count), *model));
     let mut free = free.into_iter();
-    for (model, count) in missing {
-        for endpoint in free.by_ref().take(count) {
+    for model in missing_models(wanted) {
+        if let Some(endpoint) = free.next() {
             desired.insert(endpoint.clone(), model.to_owned());
         }
     }
+    if surplus == SurplusRule::Unload {
+        desired.extend(free.map(|endpoint| (endpoint.clone(), String::new())));
+    }
     desired
 }
 
-/// The orders that are due: engines in the wrong state that run nothing, the most demanded model
-/// first, at most `loads` at once so that the weight store's rate is kept.
+/// The models that lack engines, in turns, so that each has one before another has its second.
+fn missing_models(mut wanted: BTreeMap<&str, usize>) -> Vec<&str> {
+    let mut missing = Vec::new();
+    loop {
+        wanted.retain(|_, count| *count > 0);
+        if wanted.is_empty() {
+            return missing;
+        }
+        let mut turn: Vec<(&str, usize)> =
+            wanted.iter().map(|(one, count)| (*one, *count)).collect();
+        turn.sort_by_key(|(model, count)| (std::cmp::Reverse(*count), *model));
+        missing.extend(turn.into_iter().map(|(model, _)| model));
+        for count in wanted.values_mut() {
+            *count -= 1;
+        }
+    }
+}
+
+/// The orders that are due: engines in the wrong state on which nothing is granted and nothing
+/// runs, the most demanded model first, at most `limit`.
 #[must_use]
 pub fn due_orders(
     engines: &BTreeMap<EndpointId, EngineState>,
     desired: &BTreeMap<EndpointId, String>,
-    loading: &BTreeSet<EndpointId>,
-    loads: usize,
+    idle: &[EndpointId],
+    limit: usize,
 ) -> Vec<EngineOrder> {
     let mut demand: BTreeMap<&str, usize> = BTreeMap::new();
-    for model in desired.values() {
+    for model in desired.values().filter(|model| !model.is_empty()) {
         *demand.entry(model).or_default() += 1;
     }
+    let is_due = |endpoint: &EndpointId, model: &str| {
+        let state = engines.get(endpoint);
+        state.is_some_and(|state| state.running == 0 && state.model != model)
+    };
     let mut due: Vec<EngineOrder> = desired
         .iter()
-        .filter(|(endpoint, _)| !loading.contains(*endpoint))
-        .filter(|(endpoint, model)| {
-            engines
-                .get(*endpoint)
-                .is_some_and(|state| state.running == 0 && state.model != **model)
-        })
+        .filter(|(endpoint, model)| idle.contains(endpoint) && is_due(endpoint, model))
         .map(|(endpoint, model)| EngineOrder {
             endpoint: endpoint.clone(),
             model: model.clone(),
         })
         .collect();
-    due.sort_by_key(|order| std::cmp::Reverse(demand[order.model.as_str()]));
-    due.truncate(loads.saturating_sub(loading.len()));
+    due.sort_by_key(|order| std::cmp::Reverse(demand.get(order.model.as_str()).copied()));
+    due.truncate(limit);
     due
 }
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -27,6 +27,8 @@
     AccountLimit,
     /// Every candidate endpoint is down or leaving.
     NoEndpoint,
+    /// No endpoint has loaded the model yet.
+    ModelLoading,
     /// The retry budget of the account or endpoint is spent.
     RetryBudget,
     /// The prompt crashed endpoints and is quarantined.
@@ -47,7 +49,7 @@
 
 impl RefusalReason {
     /// Every reason, in the order of declaration.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::BadRequest,
         Self::BodyTooLarge,
         Self::SlowCaller,
@@ -59,6 +61,7 @@
         Self::Overloaded,
         Self::AccountLimit,
         Self::NoEndpoint,
+        Self::ModelLoading,
         Self::RetryBudget,
         Self::Quarantined,
         Self::NotReady,
@@ -84,6 +87,7 @@
             Self::Overloaded => "overloaded",
             Self::AccountLimit => "account_limit",
             Self::NoEndpoint => "no_endpoint",
+            Self::ModelLoading => "model_loading",
             Self::RetryBudget => "retry_budget",
             Self::Quarantined => "quarantined",
             Self::NotReady => "not_ready",
--- a/crates/policy/src/pool/ask.rs
+++ b/crates/policy/src/pool/ask.rs
@@ -98,6 +98,8 @@
     pub account: AccountId,
     /// The account's share relative to others.
     pub weight: u32,
+    /// The model that it asks for.
+    pub model: String,
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
     /// Bound on generated tokens.
--- a/crates/policy/src/pool/drain.rs
+++ b/crates/policy/src/pool/drain.rs
@@ -106,14 +106,11 @@
         now: Millis,
         decided: &mut Vec<(TicketId, GrantDecision)>,
     ) {
-        if class == WorkClass::Short {
-            return;
-        }
-        for waiting in self.long_queue.followers(BACKFILL_ASKS) {
+        for waiting in self.queue(class).followers(BACKFILL_ASKS) {
             let Some(placement) = self.place(&waiting, class, now) else {
                 continue;
             };
-            self.long_queue.take(&waiting.ask.account, waiting.ticket);
+            self.queue(class).take(&waiting.ask.account, waiting.ticket);
             self.pace.granted(waiting.ticket, now);
             let grant = self.grant(&waiting.ask, class, placement, now);
             decided.push((waiting.ticket, GrantDecision::Granted(grant)));
--- a/crates/policy/src/pool/endpoint.rs
+++ b/crates/policy/src/pool/endpoint.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::ask::{GrantAsk, GrantId, GrantPart, READ_PRIORITIES, ReadPriority, Sharing, WorkClass};
+use super::models::ServedModels;
 use crate::ids::{EndpointId, Millis, OwnerId, RequestId};
 use crate::poison::Fingerprint;
 
@@ -68,6 +69,9 @@
 pub struct EndpointState {
     pub(super) spec: EndpointSpec,
     pub(super) health: EndpointHealth,
+    pub(super) served: ServedModels,
+    /// Until when it is given nothing new, since it is to change its model.
+    pub(super) changing_until: Millis,
     pub(super) grants: BTreeMap<GrantId, RunningGrant>,
     used_tokens: u64,
     long_grants: usize,
@@ -80,6 +84,8 @@
         Self {
             spec,
             health,
+            served: ServedModels::All,
+            changing_until: 0,
             grants: BTreeMap::new(),
             used_tokens: 0,
             long_grants: 0,
@@ -89,6 +95,9 @@
 
     /// Whether it may be given new work at `now`.
     pub(super) fn is_open(&self, now: Millis) -> bool {
+        if now < self.changing_until {
+            return false;
+        }
         match self.health {
             EndpointHealth::Up => true,
             EndpointHealth::Down(until) => now >= until,
--- a/crates/policy/src/pool/place.rs
+++ b/crates/policy/src/pool/place.rs
@@ -63,6 +63,7 @@
             .enumerate()
             .filter(move |(index, _)| is_allowed(*index, class, lane_size))
             .map(|(_, state)| state)
+            .filter(|state| state.served.serves(&ask.model))
             .filter(|state| !self.reserved.contains(&&state.spec.id))
             .filter(|state| self.pinned.is_none_or(|pinned| *pinned == state.spec.id))
             .filter(move |state| !excluded.contains(&state.spec.id))
--- a/crates/policy/src/pool/refuse.rs
+++ b/crates/policy/src/pool/refuse.rs
@@ -10,6 +10,9 @@
 /// vain.
 const PACE_MARGIN: Millis = 2;
 
+/// A wait until a model that nobody has loaded may have been, in milliseconds.
+const MODEL_WAIT: Millis = 5_000;
+
 impl PoolTable {
     pub(super) fn refuse_outright(&self, ask: &GrantAsk, now: Millis) -> Option<Refusal> {
         if ask.time_left == 0 {
@@ -34,6 +37,10 @@
                 self.limits.down_time,
             ));
         }
+        let is_served = |state: &EndpointState| state.served.serves(&ask.model);
+        if !self.endpoints.values().any(is_served) {
+            return Some(Refusal::new(RefusalReason::ModelLoading, MODEL_WAIT));
+        }
         None
     }
 
--- a/crates/policy/src/pool/table.rs
+++ b/crates/policy/src/pool/table.rs
@@ -12,6 +12,7 @@
 use super::pace::GrantPace;
 use super::place::{PlaceView, Placement};
 use super::queue::{FairQueue, Waiting};
+use crate::demand::DemandMeter;
 use crate::ids::{AttemptId, EndpointId, Millis};
 use crate::outcome::{Refusal, RefusalReason};
 use crate::poison::Fingerprint;
@@ -59,6 +60,7 @@
     pub(super) pace: GrantPace,
     pub(super) lane: LongLane,
     pub(super) prefixes: PrefixIndex,
+    pub(super) meter: DemandMeter,
     pub(super) mean_hold: Millis,
     long_work: Millis,
     long_works: HashMap<GrantId, Millis>,
@@ -84,6 +86,7 @@
             pace: GrantPace::default(),
             lane,
             prefixes,
+            meter: DemandMeter::new(),
             mean_hold: 0,
             long_work: 0,
             long_works: HashMap::new(),
@@ -154,6 +157,7 @@
     /// Decides on an ask: granted, queued or refused at once.
     pub fn ask(&mut self, ask: GrantAsk, now: Millis) -> GrantDecision {
         let class = self.class(&ask);
+        self.count_demand(&ask, now);
         if let Some(refusal) = self.refuse_outright(&ask, now) {
             return GrantDecision::Refused(refusal);
         }
--- a/crates/policy/tests/orders.rs
+++ b/crates/policy/tests/orders.rs
@@ -1,11 +1,11 @@
 //! Orders to engines: who may give them, and which are due.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use jackdawpoint_policy::ids::EndpointId;
 use jackdawpoint_policy::order::{
-    EngineState, FencingCheck, HeldLease, ModelDemand, OrderLimits, OrderVerdict, desired_models,
-    due_orders, may_order,
+    EngineState, FencingCheck, HeldLease, ModelDemand, OrderLimits, OrderVerdict, SurplusRule,
+    desired_models, due_orders, may_order,
 };
 
 struct LeaseCase {
@@ -92,6 +92,10 @@
     states.collect()
 }
 
+fn all(engines: &BTreeMap<EndpointId, EngineState>) -> Vec<EndpointId> {
+    engines.keys().cloned().collect()
+}
+
 fn demand(demands: &[(&str, usize)]) -> Vec<ModelDemand> {
     let demands = demands.iter().map(|(model, endpoints)| ModelDemand {
         model: (*model).to_owned(),
@@ -109,9 +113,13 @@
         ("e3", "", 0),
         ("e4", "", 0),
     ]);
-    let desired = desired_models(&engines, &demand(&[("a", 1), ("b", 1), ("c", 2)]));
+    let desired = desired_models(
+        &engines,
+        &demand(&[("a", 1), ("b", 1), ("c", 2)]),
+        SurplusRule::Keep,
+    );
     assert_eq!(desired[&EndpointId::new("e0")], "a", "it stays");
-    let orders = due_orders(&engines, &desired, &BTreeSet::new(), 2);
+    let orders = due_orders(&engines, &desired, &all(&engines), 2);
     let models: Vec<&str> = orders.iter().map(|order| order.model.as_str()).collect();
     assert_eq!(models, ["c", "c"], "two at once, the most demanded first");
 }
@@ -119,9 +127,16 @@
 #[test]
 fn running_streams_put_off_a_change_and_shrinking_demand_frees_engines() {
     let engines = engines(&[("e0", "a", 2), ("e1", "a", 0), ("e2", "a", 0)]);
-    let desired = desired_models(&engines, &demand(&[("a", 1)]));
+    let desired = desired_models(&engines, &demand(&[("a", 1)]), SurplusRule::Keep);
     assert_eq!(desired.len(), 1, "two engines are free");
+    let unloaded = desired_models(&engines, &demand(&[("a", 1)]), SurplusRule::Unload);
+    let models: Vec<&str> = unloaded.values().map(String::as_str).collect();
+    assert_eq!(
+        models,
+        ["a", "", ""],
+        "the busiest stays, the others unload"
+    );
     let moved: BTreeMap<EndpointId, String> = [(EndpointId::new("e0"), "b".to_owned())].into();
-    let orders = due_orders(&engines, &moved, &BTreeSet::new(), 8);
+    let orders = due_orders(&engines, &moved, &all(&engines), 8);
     assert!(orders.is_empty(), "streams run on e0");
 }
--- a/crates/policy/tests/pool.rs
+++ b/crates/policy/tests/pool.rs
@@ -34,6 +34,7 @@
         fingerprint: Fingerprint(number),
         account: AccountId::new("family"),
         weight: 1,
+        model: "advice".to_owned(),
         prompt_tokens,
         output_tokens: 100,
         prefixes: Vec::new(),
--- a/crates/scenarios/src/clients.rs
+++ b/crates/scenarios/src/clients.rs
@@ -25,12 +25,14 @@
 use crate::gate::{Gated, NodeGate};
 use crate::ledger::{RequestEnd, RequestKind, RequestRecord};
 use crate::node::NodeEnd;
-use crate::world::{API_KEY, MODEL, PlantedFault, World, WorldState, end_node};
+use crate::world::{API_KEY, PlantedFault, World, WorldState, end_node};
 use crate::world_build::template;
 
 /// What a completion asks for.
 #[derives::value]
 pub struct PromptPlan {
+    /// The model asked for.
+    pub model: String,
     /// Prompt length, in tokens.
     pub prompt_tokens: u64,
     /// Milliseconds that an engine takes to read it.
@@ -67,7 +69,7 @@
             let request = CompletionRequest {
                 kind: CompletionKind::Text,
                 key: KeyDigest::new(API_KEY),
-                model: MODEL.to_owned(),
+                model: plan.model.clone(),
                 prompt_bytes: plan.prompt_tokens * BYTES_PER_TOKEN,
                 prefixes: Vec::new(),
                 max_tokens: Some(plan.answer_tokens),
--- a/crates/scenarios/src/engines.rs
+++ b/crates/scenarios/src/engines.rs
@@ -32,6 +32,9 @@
 /// How often something that stands still is looked at again.
 const HOLD_POLL: Duration = Duration::from_millis(20);
 
+/// How long an order that is late is on its way: within the longest order's time.
+const LATE_ORDER: Duration = Duration::from_millis(1_900);
+
 /// How long a crashed engine takes to come back.
 const RESTART_TIME: Duration = Duration::from_secs(3);
 
@@ -62,6 +65,14 @@
     pub(crate) fencing: u64,
     pub(crate) checks_fencing: bool,
     pub(crate) crashes: u64,
+    /// Whether it serves only the model that it has loaded.
+    pub(crate) is_managed: bool,
+    /// The next orders, this many, arrive late.
+    pub(crate) late_orders: u32,
+    /// Streams and memory lost to orders.
+    pub(crate) cut_by_orders: usize,
+    /// Loads that it has begun.
+    pub(crate) loads: u64,
 }
 
 impl EngineState {
@@ -83,6 +94,10 @@
             fencing: 0,
             checks_fencing: false,
             crashes: 0,
+            is_managed: false,
+            late_orders: 0,
+            cut_by_orders: 0,
+            loads: 0,
         }
     }
 
@@ -98,6 +113,7 @@
         self.streams.clear();
         self.memory.clear();
         self.is_frozen = false;
+        self.model.clear();
         self.up_since = Instant::now() + down;
     }
 
@@ -105,6 +121,28 @@
         self.silent_before = self.connections;
     }
 
+    fn is_order_late(&mut self) -> bool {
+        let is_late = self.late_orders > 0;
+        self.late_orders = self.late_orders.saturating_sub(1);
+        is_late
+    }
+
+    /// Obeys an order at once, whatever runs: an engine that does not put it off.
+    fn take_order(&mut self, order: &ModelOrder) -> OrderAnswer {
+        if self.checks_fencing && order.fencing < self.fencing {
+            return OrderAnswer::Fenced;
+        }
+        self.fencing = self.fencing.max(order.fencing);
+        if self.model != order.model {
+            self.cut_by_orders += self.streams.len() + self.memory.len();
+            self.streams.clear();
+            self.memory.clear();
+            self.loads += u64::from(!order.model.is_empty());
+            self.model.clone_from(&order.model);
+        }
+        OrderAnswer::Taken
+    }
+
     fn is_up(&self) -> bool {
         Instant::now() >= self.up_since
     }
@@ -194,7 +232,8 @@
 fn admit(engine: &mut EngineState, order: &StreamOrder) -> Option<(u64, u64, u64)> {
     let is_full = engine.streams.len() >= engine.slots
         || engine.used_tokens() + order.memory_tokens > engine.memory_tokens;
-    if is_full {
+    let is_other_model = engine.is_managed && engine.model != order.model;
+    if is_full || is_other_model {
         return None;
     }
     let record = StreamRecord {
@@ -464,17 +503,18 @@
         address: SocketAddr,
         order: &'a ModelOrder,
     ) -> EngineFuture<'a, OrderAnswer> {
-        self.call(address, move |engine| {
-            if engine.checks_fencing && order.fencing < engine.fencing {
-                return OrderAnswer::Fenced;
-            }
-            if !engine.streams.is_empty() && engine.model != order.model {
-                return OrderAnswer::Busy;
+        async move {
+            if self.with(address, EngineState::is_order_late) {
+                let (world, order) = (self.world.clone(), order.clone());
+                tokio::task::spawn_local(async move {
+                    sleep(LATE_ORDER).await;
+                    world.with_engine(address, |engine| engine.take_order(&order));
+                });
+                sleep(ANSWER_TIME).await;
+                return Err(EngineFault::Unavailable);
             }
-            engine.fencing = engine.fencing.max(order.fencing);
-            engine.model.clone_from(&order.model);
-            OrderAnswer::Taken
-        })
+            self.call(address, |engine| engine.take_order(order)).await
+        }
         .boxed_local()
     }
 }
--- a/crates/scenarios/src/invariants.rs
+++ b/crates/scenarios/src/invariants.rs
@@ -1,5 +1,6 @@
 //! Checks what must always hold, apart from the code that keeps it.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 
 use crate::ledger::{RequestEnd, RequestKind, RequestRecord};
 use crate::node::NodeSlot;
-use crate::world::World;
+use crate::world::{MODEL, SECOND_MODEL, World};
 
 /// How long after its deadline a request may be answered, for messages on their way.
 const ANSWER_SLACK: Duration = Duration::from_millis(300);
@@ -79,6 +80,7 @@
         let accepted = ledger.accepted;
         drop(ledger);
         self.check_templates(accepted, &mut found);
+        self.check_loads(&mut found);
         found
     }
 
@@ -111,6 +113,40 @@
         }
     }
 
+    /// Engines load only what the weight store has allowed.
+    fn check_loads(&self, found: &mut Vec<Violation>) {
+        let engines = self.state.engines.borrow();
+        let loads: u64 = engines.values().map(|engine| engine.loads).sum();
+        let allowed = self.state.weights.borrow().allowed;
+        if loads > allowed {
+            let seen = format!("{loads} loads, {allowed} were allowed");
+            found.push(violation("the weight store's rate is kept", seen));
+        }
+    }
+
+    /// Every model of a failure domain is loaded on one of its engines.
+    fn find_unloaded(&self) -> Vec<String> {
+        let mut loaded: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+        for engine in self.state.engines.borrow().values() {
+            let domain = engine.name.split('-').next().unwrap_or("").to_owned();
+            let models = loaded.entry(domain).or_default();
+            if engine.is_managed {
+                models.insert(engine.model.clone());
+            } else {
+                models.extend([MODEL, SECOND_MODEL].map(str::to_owned));
+            }
+        }
+        let is_complete = |models: &BTreeSet<String>| {
+            [MODEL, SECOND_MODEL]
+                .iter()
+                .all(|model| models.contains(*model))
+        };
+        let incomplete = loaded.into_iter().filter(|(_, one)| !is_complete(one));
+        incomplete
+            .map(|(domain, models)| format!("{domain} has loaded {models:?}"))
+            .collect()
+    }
+
     /// No instance that takes requests has an older template than one that was accepted.
     fn check_templates(&self, accepted: u64, found: &mut Vec<Violation>) {
         let key = template_key(&TemplateId::new("parents"));
@@ -137,6 +173,9 @@
                 self.add_violation(violation("the fleet recovers", seen));
             }
         }
+        for seen in self.find_unloaded() {
+            self.add_violation(violation("the fleet recovers", seen));
+        }
         let versions = self.enter(|| self.served_versions());
         if versions.windows(2).any(|pair| pair[0] != pair[1]) {
             let seen = format!("instances serve versions {versions:?}");
--- a/crates/scenarios/src/lib.rs
+++ b/crates/scenarios/src/lib.rs
@@ -15,12 +15,13 @@
 mod schedule;
 mod script;
 mod services;
+mod weights;
 mod world;
 mod world_build;
 
 pub use clients::PromptPlan;
 pub use invariants::Violation;
 pub use ledger::RequestEnd;
-pub use schedule::{ScheduleReport, run_planted_schedule, run_schedule};
+pub use schedule::{ScheduleReport, run_order_schedule, run_planted_schedule, run_schedule};
 pub use script::run_script;
-pub use world::{PlantedFault, World, WorldPlan};
+pub use world::{PlantedFault, World, WorldLoading, WorldPlan};
--- a/crates/scenarios/src/main.rs
+++ b/crates/scenarios/src/main.rs
@@ -5,8 +5,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 
-use clap::{Parser, Subcommand};
-use jackdawpoint_scenarios::{ScheduleReport, run_schedule, run_script};
+use clap::{Parser, Subcommand, ValueEnum};
+use jackdawpoint_scenarios::{
+    ScheduleReport, WorldLoading, run_order_schedule, run_schedule, run_script,
+};
 
 /// Scenarios on virtual time.
 #[derive(Debug, Parser)]
@@ -31,6 +33,9 @@
         /// How many seeds.
         #[arg(long, default_value_t = 100)]
         count: u64,
+        /// Whether engines are ordered which model to load.
+        #[arg(long, value_enum, default_value_t = LoadingArg::Fixed)]
+        loading: LoadingArg,
         /// Threads.
         #[arg(long, default_value_t = 6)]
         threads: usize,
@@ -39,18 +44,43 @@
     Seed {
         /// The seed.
         seed: u64,
+        /// Whether engines are ordered which model to load.
+        #[arg(long, value_enum, default_value_t = LoadingArg::Fixed)]
+        loading: LoadingArg,
     },
 }
 
+/// Whether and how engines take orders.
+#[derive(Debug, Clone, Copy, ValueEnum)]
+enum LoadingArg {
+    /// Every engine serves the one model.
+    Fixed,
+    /// They refuse orders with an old fencing number.
+    Checked,
+    /// They take any order.
+    Ignored,
+}
+
+impl LoadingArg {
+    fn run(self, seed: u64) -> ScheduleReport {
+        match self {
+            Self::Fixed => run_schedule(seed),
+            Self::Checked => run_order_schedule(seed, WorldLoading::Checked),
+            Self::Ignored => run_order_schedule(seed, WorldLoading::Ignored),
+        }
+    }
+}
+
 fn main() -> ExitCode {
     match ScenarioArgs::parse().command {
         ScenarioCommand::Run { files } => run_files(&files),
         ScenarioCommand::Soak {
             first,
             count,
+            loading,
             threads,
-        } => soak(first, count, threads),
-        ScenarioCommand::Seed { seed } => show_seed(seed),
+        } => soak(first, count, loading, threads),
+        ScenarioCommand::Seed { seed, loading } => show_seed(seed, loading),
     }
 }
 
@@ -74,7 +104,7 @@
     ExitCode::SUCCESS
 }
 
-fn soak(first: u64, count: u64, threads: usize) -> ExitCode {
+fn soak(first: u64, count: u64, loading: LoadingArg, threads: usize) -> ExitCode {
     let next = AtomicU64::new(first);
     let run = || {
         let mut reports = Vec::new();
@@ -83,7 +113,7 @@
             if seed >= first + count {
                 return reports;
             }
-            let report = run_schedule(seed);
+            let report = loading.run(seed);
             if !report.violations.is_empty() {
                 println!("seed {seed}: {}", report.violations[0]);
             }
@@ -122,8 +152,8 @@
     ExitCode::SUCCESS
 }
 
-fn show_seed(seed: u64) -> ExitCode {
-    let report = run_schedule(seed);
+fn show_seed(seed: u64, loading: LoadingArg) -> ExitCode {
+    let report = loading.run(seed);
     for action in &report.actions {
         println!("{action}");
     }
--- a/crates/scenarios/src/node.rs
+++ b/crates/scenarios/src/node.rs
@@ -16,6 +16,7 @@
 use crate::peers::FakePeers;
 use crate::platform::{FakePlatform, listed};
 use crate::services::FakeServices;
+use crate::weights::FakeWeights;
 use crate::world::WorldState;
 
 /// A running instance.
@@ -79,6 +80,7 @@
         let ports = ControlPorts {
             platform: Rc::new(FakePlatform::new(world.clone(), &self.name)),
             engines: engines.clone(),
+            weights: Rc::new(FakeWeights::new(world.clone(), &self.name)),
             peers: Rc::new(FakePeers::new(world.clone(), &self.name)),
             spawner: Rc::new(GateSpawner::new(self.gate.clone())),
         };
--- a/crates/scenarios/src/peers.rs
+++ b/crates/scenarios/src/peers.rs
@@ -8,6 +8,7 @@
     ApplyReport, DocumentBatch, PeerAnswer, PeerFault, PeerHandler, PeerPort, ProbeMessage,
     RelayVerdict,
 };
+use policy::demand::PoolDemand;
 use policy::ids::{EndpointId, PoolId};
 use policy::leaving::Announcement;
 use policy::poison::{CrashReport, Fingerprint};
@@ -195,6 +196,18 @@
         .boxed_local()
     }
 
+    fn demand<'a>(
+        &'a self,
+        address: &'a str,
+        pool: &'a PoolId,
+        changing: &'a [EndpointId],
+    ) -> PeerAnswer<'a, PoolDemand> {
+        self.exchange(address, ANSWER_TIME, async move |peer| {
+            peer.demand(pool, changing)
+        })
+        .boxed_local()
+    }
+
     fn quarantined<'a>(&'a self, address: &'a str) -> PeerAnswer<'a, Vec<Fingerprint>> {
         self.exchange(address, ANSWER_TIME, async move |peer| peer.quarantined())
             .boxed_local()
--- a/crates/scenarios/src/platform.rs
+++ b/crates/scenarios/src/platform.rs
@@ -121,6 +121,14 @@
             .collect()
     }
 
+    /// The instance named by a failure domain's key of the order holder.
+    pub(crate) fn holder(&mut self, domain: &str) -> String {
+        self.expire();
+        let entry = self.entries.get(&format!("orders/{domain}"));
+        let name = entry.and_then(|(stored, _)| stored.value.split(' ').next());
+        name.unwrap_or("").to_owned()
+    }
+
     /// Writes a key without a condition.
     pub(crate) fn put(&mut self, key: &str, value: &str) {
         let present = self.revision_of(key);
--- a/crates/scenarios/src/schedule.rs
+++ b/crates/scenarios/src/schedule.rs
@@ -9,7 +9,7 @@
 use crate::invariants::Violation;
 use crate::ledger::RequestEnd;
 use crate::platform::PLATFORM;
-use crate::world::{PlantedFault, World, WorldPlan};
+use crate::world::{MODEL, PlantedFault, SECOND_MODEL, World, WorldLoading, WorldPlan};
 
 /// Actions of one schedule.
 const ACTIONS: u32 = 120;
@@ -57,6 +57,7 @@
 
 struct Scheduler {
     world: World,
+    loading: WorldLoading,
     rng: SmallRng,
     now: u64,
     remedies: Vec<Remedy>,
@@ -75,13 +76,33 @@
 /// Runs the schedule of a seed in a world with a planted fault.
 #[must_use]
 pub fn run_planted_schedule(seed: u64, planted: PlantedFault) -> ScheduleReport {
-    let plan = WorldPlan {
+    let loading = match planted {
+        PlantedFault::UncountedLoads => WorldLoading::Checked,
+        _ => WorldLoading::Fixed,
+    };
+    run_plan(&WorldPlan {
         seed,
+        loading,
         planted,
         ..WorldPlan::default()
-    };
+    })
+}
+
+/// Runs the schedule of a seed in a world whose engines are ordered which model to load.
+#[must_use]
+pub fn run_order_schedule(seed: u64, loading: WorldLoading) -> ScheduleReport {
+    run_plan(&WorldPlan {
+        seed,
+        loading,
+        ..WorldPlan::default()
+    })
+}
+
+fn run_plan(plan: &WorldPlan) -> ScheduleReport {
+    let seed = plan.seed;
     let mut scheduler = Scheduler {
-        world: World::new(&plan),
+        world: World::new(plan),
+        loading: plan.loading,
         rng: SmallRng::seed_from_u64(seed),
         now: 0,
         remedies: Vec::new(),
@@ -195,6 +216,7 @@
             _ => (1_000, 10),
         };
         let plan = PromptPlan {
+            model: self.pick_model().to_owned(),
             prompt_tokens,
             prefill_ms,
             answer_tokens: self.rng.random_range(1..60),
@@ -205,6 +227,15 @@
         self.world.complete(&node, &plan);
     }
 
+    /// Both models where engines load one of two.
+    fn pick_model(&mut self) -> &'static str {
+        if self.loading == WorldLoading::Fixed {
+            return MODEL;
+        }
+        let models = [MODEL, SECOND_MODEL];
+        models.choose(&mut self.rng).expect("there are models")
+    }
+
     fn send_poison(&mut self) {
         if self.poison >= 4 {
             return;
@@ -212,6 +243,7 @@
         self.poison += 1;
         let node = self.pick_node();
         let plan = PromptPlan {
+            model: MODEL.to_owned(),
             prompt_tokens: 1_000,
             prefill_ms: 10,
             answer_tokens: 5,
@@ -320,7 +352,12 @@
 
     fn engine_fault(&mut self) {
         let engine = self.pick_engine();
-        let fault = self.rng.random_range(0..5);
+        let faults = if self.loading == WorldLoading::Fixed {
+            0..5
+        } else {
+            0..7
+        };
+        let fault = self.rng.random_range(faults);
         self.world
             .state
             .with_named_engine(&engine, |one| match fault {
@@ -328,6 +365,7 @@
                 1 => one.cross_frames = 1,
                 2 => one.truncate_streams = 2,
                 3 => one.is_frozen = true,
+                5 | 6 => one.late_orders = 3,
                 _ => {}
             });
         match fault {
--- a/crates/scenarios/src/script.rs
+++ b/crates/scenarios/src/script.rs
@@ -9,7 +9,7 @@
 use rhai::{Dynamic, Engine, EvalAltResult, Map};
 
 use crate::clients::PromptPlan;
-use crate::world::{World, WorldPlan};
+use crate::world::{MODEL, World, WorldLoading, WorldPlan};
 
 type Shared = Rc<RefCell<Option<World>>>;
 type ScriptResult<T> = Result<T, Box<EvalAltResult>>;
@@ -25,6 +25,7 @@
     engine.set_max_operations(10_000_000);
     register_world(&mut engine, &shared);
     register_faults(&mut engine, &shared);
+    register_orders(&mut engine, &shared);
     register_requests(&mut engine, &shared);
     register_operators(&mut engine, &shared);
     engine.run(source).map_err(|error| error.to_string())?;
@@ -91,7 +92,7 @@
     check_names(
         map,
         &[
-            "domains", "nodes", "engines", "services", "slots", "memory", "seed",
+            "domains", "nodes", "engines", "services", "slots", "memory", "seed", "loading",
         ],
     )?;
     let default = WorldPlan::default();
@@ -114,10 +115,25 @@
         slots: size("slots", default.slots)?,
         memory_tokens: number(map, "memory", default.memory_tokens)?,
         seed: number(map, "seed", default.seed)?,
+        loading: world_loading(map)?,
         planted: default.planted,
     })
 }
 
+fn world_loading(map: &Map) -> ScriptResult<WorldLoading> {
+    match text(map, "loading", "fixed").as_str() {
+        "fixed" => Ok(WorldLoading::Fixed),
+        "checked" => Ok(WorldLoading::Checked),
+        "ignored" => Ok(WorldLoading::Ignored),
+        other => Err(format!("`loading` is {other}, not fixed, checked or ignored").into()),
+    }
+}
+
+fn text(map: &Map, name: &str, default: &str) -> String {
+    map.get(name)
+        .map_or_else(|| default.to_owned(), ToString::to_string)
+}
+
 /// Registers a function that acts on one named thing.
 fn register_on(engine: &mut Engine, shared: &Shared, name: &str, act: fn(&World, &str)) {
     let world = shared.clone();
@@ -179,6 +195,29 @@
     });
 }
 
+fn register_orders(engine: &mut Engine, shared: &Shared) {
+    let world = shared.clone();
+    engine.register_fn("delay_orders", move |domain: &str, count: i64| {
+        with(&world, |world| {
+            world.delay_orders(domain, u32::try_from(count).unwrap_or(0));
+        })
+    });
+    let world = shared.clone();
+    engine.register_fn("loaded", move |name: &str| {
+        with(&world, |world| world.loaded(name))
+    });
+    let world = shared.clone();
+    engine.register_fn("cut_by_orders", move || {
+        with(&world, |world| {
+            i64::try_from(world.cut_by_orders()).unwrap_or(i64::MAX)
+        })
+    });
+    let world = shared.clone();
+    engine.register_fn("holder", move |domain: &str| {
+        with(&world, |world| world.order_holder(domain))
+    });
+}
+
 fn register_requests(engine: &mut Engine, shared: &Shared) {
     let world = shared.clone();
     engine.register_fn("complete", move |node: &str, map: Map| {
@@ -233,18 +272,18 @@
 fn prompt_plan(map: &Map) -> ScriptResult<PromptPlan> {
     check_names(
         map,
-        &["prompt", "prefill", "answer", "token", "timeout", "name"],
+        &[
+            "model", "prompt", "prefill", "answer", "token", "timeout", "name",
+        ],
     )?;
-    let prefix = map
-        .get("name")
-        .map_or_else(String::new, ToString::to_string);
     Ok(PromptPlan {
+        model: text(map, "model", MODEL),
         prompt_tokens: number(map, "prompt", 1_000)?,
         prefill_ms: number(map, "prefill", 10)?,
         answer_tokens: number(map, "answer", 20)?,
         token_ms: number(map, "token", 30)?,
         timeout_ms: number(map, "timeout", 10_000)?,
-        prefix,
+        prefix: text(map, "name", ""),
     })
 }
 
--- a/crates/scenarios/src/world.rs
+++ b/crates/scenarios/src/world.rs
@@ -23,6 +23,7 @@
 use crate::node::{NodeEnd, NodeSlot};
 use crate::platform::PlatformState;
 use crate::services::ServiceState;
+use crate::weights::WeightState;
 use crate::world_build::build_state;
 
 /// Milliseconds since the Unix epoch at which every world begins.
@@ -34,6 +35,9 @@
 /// The model that the world's engines serve.
 pub(crate) const MODEL: &str = "advice";
 
+/// The other model, where engines load one of two.
+pub(crate) const SECOND_MODEL: &str = "review";
+
 /// How long the platform's list shows an instance that has died.
 const LIST_LAG: Duration = Duration::from_secs(10);
 
@@ -57,10 +61,23 @@
     pub memory_tokens: u64,
     /// Seed of everything random.
     pub seed: u64,
+    /// Whether instances order the engines which model to load.
+    pub loading: WorldLoading,
     /// A fault that breaks a promise, to show that its check notices.
     pub planted: PlantedFault,
 }
 
+/// Whether and how a world's engines take orders.
+#[derives::tag]
+pub enum WorldLoading {
+    /// Every engine serves the one model.
+    Fixed,
+    /// Each engine loads one of two models, and refuses orders with an old fencing number.
+    Checked,
+    /// Each engine loads one of two models, and takes any order.
+    Ignored,
+}
+
 /// Faults of the world itself, one for each promise.
 #[derives::tag]
 pub enum PlantedFault {
@@ -82,6 +99,8 @@
     HastyStop,
     /// Announcements are confirmed and not heard.
     UnheardAnnouncement,
+    /// The weight store allows loads that it does not count.
+    UncountedLoads,
 }
 
 impl Default for WorldPlan {
@@ -94,6 +113,7 @@
             slots: 8,
             memory_tokens: 100_000,
             seed: 1,
+            loading: WorldLoading::Fixed,
             planted: PlantedFault::None,
         }
     }
@@ -135,6 +155,7 @@
     pub(crate) platform: RefCell<PlatformState>,
     pub(crate) nodes: RefCell<BTreeMap<String, NodeSlot>>,
     pub(crate) ledger: RefCell<Ledger>,
+    pub(crate) weights: RefCell<WeightState>,
     pub(crate) identity: Arc<FakeIdentity>,
     pub(crate) planted: PlantedFault,
     pub(crate) engines: RefCell<BTreeMap<SocketAddr, EngineState>>,
@@ -426,6 +447,35 @@
             .with_named_engine(name, |engine| engine.is_frozen = false);
     }
 
+    /// Has a failure domain's next orders, this many, arrive late: their senders get no answer.
+    pub fn delay_orders(&self, domain: &str, count: u32) {
+        let mut engines = self.state.engines.borrow_mut();
+        let inside = |engine: &&mut EngineState| engine.name.starts_with(&format!("{domain}-"));
+        for engine in engines.values_mut().filter(inside) {
+            engine.late_orders = count;
+        }
+    }
+
+    /// The model that an engine has loaded; empty for none.
+    #[must_use]
+    pub fn loaded(&self, name: &str) -> String {
+        self.state
+            .with_named_engine(name, |engine| engine.model.clone())
+    }
+
+    /// Streams and memory that engines lost to orders.
+    #[must_use]
+    pub fn cut_by_orders(&self) -> usize {
+        let engines = self.state.engines.borrow();
+        engines.values().map(|engine| engine.cut_by_orders).sum()
+    }
+
+    /// The instance that holds a failure domain's lease for orders; empty for none.
+    #[must_use]
+    pub fn order_holder(&self, domain: &str) -> String {
+        self.enter(|| self.state.platform.borrow_mut().holder(domain))
+    }
+
     /// Silences the connections that are open to an engine; new ones work.
     pub fn silence_engine(&self, name: &str) {
         self.state
--- a/crates/scenarios/src/world_build.rs
+++ b/crates/scenarios/src/world_build.rs
@@ -16,7 +16,10 @@
 use crate::node::NodeSlot;
 use crate::platform::PlatformState;
 use crate::services::ServiceState;
-use crate::world::{API_KEY, FakeIdentity, MODEL, WorldPlan, WorldState};
+use crate::weights::WeightState;
+use crate::world::{
+    API_KEY, FakeIdentity, MODEL, SECOND_MODEL, WorldLoading, WorldPlan, WorldState,
+};
 
 pub(crate) fn build_state(plan: &WorldPlan) -> Rc<WorldState> {
     let mut platform = PlatformState::default();
@@ -31,11 +34,13 @@
     let mut nodes = BTreeMap::new();
     for (number, domain) in plan.domains.iter().enumerate() {
         for index in 0..plan.engines {
-            let state = EngineState::new(
+            let mut state = EngineState::new(
                 &format!("{domain}-engine-{index}"),
                 plan.slots,
                 plan.memory_tokens,
             );
+            state.checks_fencing = plan.loading == WorldLoading::Checked;
+            state.is_managed = plan.loading != WorldLoading::Fixed;
             engines.insert(address(number, 1, index), state);
         }
         for index in 0..plan.services {
@@ -53,6 +58,7 @@
         platform: RefCell::new(platform),
         nodes: RefCell::new(nodes),
         ledger: RefCell::new(Ledger::default()),
+        weights: RefCell::new(WeightState::default()),
         identity: Arc::new(FakeIdentity::new()),
         planted: plan.planted,
         engines: RefCell::new(engines),
@@ -69,6 +75,7 @@
 pub(crate) fn template(output_tokens: u64) -> AccountTemplate {
     AccountTemplate::new(policy::ids::TemplateId::new("parents"))
         .with_model(MODEL)
+        .with_model(SECOND_MODEL)
         .with_service("orders", Repeatability::Once)
         .with_output_tokens(output_tokens)
 }
@@ -101,6 +108,10 @@
                 "slots": plan.slots,
                 "memory_tokens": plan.memory_tokens,
                 "prefill_rate": 100_000,
+                "fencing": match plan.loading {
+                    WorldLoading::Checked => "checked",
+                    WorldLoading::Fixed | WorldLoading::Ignored => "ignored",
+                },
             })
         })
         .collect();
@@ -121,6 +132,10 @@
         .filter(|other| *other != domain)
         .map(|other| json!({ "name": plan.domains[other], "peers": peers(other) }))
         .collect();
+    let (models, loading) = match plan.loading {
+        WorldLoading::Fixed => (vec![MODEL], "fixed"),
+        WorldLoading::Checked | WorldLoading::Ignored => (vec![MODEL, SECOND_MODEL], "managed"),
+    };
     let form = json!({
         "instance": format!("{}-{index}", plan.domains[domain]),
         "failure_domain": plan.domains[domain],
@@ -136,7 +151,9 @@
             "instances": address(99, 0, 1),
             "weights": address(99, 0, 2),
         },
-        "pools": [{ "name": "advice", "models": [MODEL], "engines": engines }],
+        "pools": [{
+            "name": "advice", "models": models, "loading": loading, "engines": engines,
+        }],
         "services": [{ "name": "orders", "endpoints": services }],
         "limits": { "long_tokens": 20_000, "lame_duck_ms": 500 },
     });
--- a/crates/scenarios/tests/process_faults.rs
+++ b/crates/scenarios/tests/process_faults.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use standin::engine::expected_text;
 use support::caller_client::{AnswerEnd, CompletionPlan, fresh_key};
-use support::fleet::{Fleet, FleetPlan, PATIENCE};
+use support::fleet::{Fleet, FleetPlan, MODEL, PATIENCE};
 use support::process::Signal;
 
 fn slow_plan() -> FleetPlan {
@@ -285,6 +285,51 @@
     assert_eq!(leaving[0]["running"], 0, "it is empty");
 }
 
+async fn are_both_loaded(fleet: &Fleet) -> bool {
+    let mut loaded = Vec::new();
+    for engine in &fleet.engines {
+        loaded.push(fleet.loaded_model(engine).await);
+    }
+    loaded.sort();
+    loaded == [MODEL, "review"]
+}
+
+/// The instance that holds the lease for orders, if any does.
+async fn order_holder(fleet: &Fleet, entries: &[usize]) -> Option<usize> {
+    for index in entries {
+        let entry = &fleet.entries[*index];
+        if fleet.metric(entry, "jackdawpoint_order_holder").await > 0.0 {
+            return Some(*index);
+        }
+    }
+    None
+}
+
+#[ntex::test]
+async fn orders_go_on_when_their_holder_dies() {
+    let mut fleet = Fleet::start(FleetPlan {
+        engine_args: vec!["--loaded-only", "--model", ""],
+        models: vec![MODEL, "review"],
+        loading: "managed",
+        ..FleetPlan::default()
+    })
+    .await;
+    let loaded = async || are_both_loaded(&fleet).await;
+    fleet.eventually("both models are loaded", loaded).await;
+    let plan = CompletionPlan::new("after loading", 5).with_timeout(5_000);
+    let served = async || fleet.complete(&fleet.entries[0], &plan).await.end == AnswerEnd::Whole;
+    fleet.eventually("the loaded model serves", served).await;
+
+    let holder = order_holder(&fleet, &[0, 1]).await.expect("one holds it");
+    let other = 1 - holder;
+    fleet.entries[holder].process.signal(Signal::Kill);
+    let moved = async || order_holder(&fleet, &[other]).await.is_some();
+    fleet.eventually("the lease moves", moved).await;
+    fleet.engines[0].restart();
+    let loaded = async || are_both_loaded(&fleet).await;
+    fleet.eventually("the new holder loads again", loaded).await;
+}
+
 #[ntex::test]
 async fn a_prompt_that_crashes_engines_takes_down_two_at_the_most() {
     let mut fleet = Fleet::start(FleetPlan {
--- a/crates/scenarios/tests/schedules.rs
+++ b/crates/scenarios/tests/schedules.rs
@@ -3,15 +3,21 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 
-use jackdawpoint_scenarios::{PlantedFault, ScheduleReport, run_planted_schedule, run_schedule};
+use jackdawpoint_scenarios::{
+    PlantedFault, ScheduleReport, WorldLoading, run_order_schedule, run_planted_schedule,
+    run_schedule,
+};
 
 const SEEDS: u64 = 100;
+
+/// Seeds of schedules in which engines are ordered which model to load, for each kind of engine.
+const ORDER_SEEDS: u64 = 20;
 const THREADS: usize = 6;
 
 /// Seeds that once broke a promise, with what was broken.
 const FOUND: [(u64, &str); 1] = [(28, "accepted changes are in force")];
 
-fn run_all(seeds: u64) -> Vec<ScheduleReport> {
+fn run_all(seeds: u64, run_one: fn(u64) -> ScheduleReport) -> Vec<ScheduleReport> {
     let next = AtomicU64::new(1);
     let run = || {
         let mut reports = Vec::new();
@@ -20,7 +26,7 @@
             if seed > seeds {
                 return reports;
             }
-            reports.push(run_schedule(seed));
+            reports.push(run_one(seed));
         }
     };
     thread::scope(|scope| {
@@ -34,7 +40,7 @@
 
 #[test]
 fn no_schedule_breaks_a_promise() {
-    let reports = run_all(SEEDS);
+    let reports = run_all(SEEDS, run_schedule);
     for report in &reports {
         let broken = &report.violations;
         assert!(broken.is_empty(), "seed {}: {broken:?}", report.seed);
@@ -47,6 +53,20 @@
     );
 }
 
+#[test]
+fn no_schedule_with_orders_breaks_a_promise() {
+    let runs: [fn(u64) -> ScheduleReport; 2] = [
+        |seed| run_order_schedule(seed, WorldLoading::Checked),
+        |seed| run_order_schedule(seed, WorldLoading::Ignored),
+    ];
+    for run in runs {
+        for report in run_all(ORDER_SEEDS, run) {
+            let broken = &report.violations;
+            assert!(broken.is_empty(), "seed {}: {broken:?}", report.seed);
+        }
+    }
+}
+
 #[test]
 fn seeds_that_once_broke_a_promise_keep_it() {
     for (seed, promise) in FOUND {
@@ -55,6 +75,18 @@
     }
 }
 
+/// Seeds with orders that once broke a promise, with what was broken.
+const FOUND_WITH_ORDERS: [(u64, WorldLoading, &str); 1] =
+    [(56, WorldLoading::Ignored, "the fleet recovers")];
+
+#[test]
+fn seeds_with_orders_that_once_broke_a_promise_keep_it() {
+    for (seed, loading, promise) in FOUND_WITH_ORDERS {
+        let report = run_order_schedule(seed, loading);
+        assert_eq!(report.violations, [], "seed {seed} once broke: {promise}");
+    }
+}
+
 #[test]
 fn a_seed_gives_the_same_schedule_and_ends_every_time() {
     for seed in [3, 17] {
@@ -67,7 +99,7 @@
     promise: &'static str,
 }
 
-const PLANTED: [PlantedCase; 8] = [
+const PLANTED: [PlantedCase; 9] = [
     PlantedCase {
         fault: PlantedFault::CarelessSwap,
         promise: "at most once",
@@ -100,6 +132,10 @@
         fault: PlantedFault::UnheardAnnouncement,
         promise: "leaving instances get no new work",
     },
+    PlantedCase {
+        fault: PlantedFault::UncountedLoads,
+        promise: "the weight store's rate is kept",
+    },
 ];
 
 /// Seeds within which a planted fault must be noticed.
--- a/crates/scenarios/tests/support/fleet.rs
+++ b/crates/scenarios/tests/support/fleet.rs
@@ -84,6 +84,10 @@
     pub engines: usize,
     pub services: usize,
     pub engine_args: Vec<&'static str>,
+    /// Models of the pool.
+    pub models: Vec<&'static str>,
+    /// `fixed` or `managed`.
+    pub loading: &'static str,
     pub limits: Value,
 }
 
@@ -95,6 +99,8 @@
             engines: 2,
             services: 1,
             engine_args: Vec::new(),
+            models: vec![MODEL],
+            loading: "fixed",
             limits: json!({ "lame_duck_ms": 200 }),
         }
     }
@@ -228,7 +234,12 @@
                 "instances": self.instances.address,
                 "weights": self.weights.address,
             },
-            "pools": [{ "name": "advice", "models": [MODEL], "engines": engines }],
+            "pools": [{
+                "name": "advice",
+                "models": plan.models,
+                "loading": plan.loading,
+                "engines": engines,
+            }],
             "services": [
                 { "name": "orders", "endpoints": services },
                 { "name": "lookup", "endpoints": lookup_names(&services) },
@@ -363,6 +374,14 @@
         answer.await.1["used_tokens"].as_u64().expect("a number")
     }
 
+    /// The model that an engine has loaded.
+    pub async fn loaded_model(&self, engine: &Standin) -> String {
+        let path = "/v1/report";
+        let answer = self.send_json(engine.address, Method::GET, path, &Value::Null);
+        let report = answer.await.1;
+        report["model"].as_str().unwrap_or("").to_owned()
+    }
+
     /// Reads one metric of an entry instance.
     pub async fn metric(&self, entry: &EntryNode, name: &str) -> f64 {
         let url = format!("http://{}/metrics", entry.callers);
--- a/crates/settings/src/form.rs
+++ b/crates/settings/src/form.rs
@@ -90,10 +90,25 @@
     pub name: String,
     /// Models that its engines serve.
     pub models: Vec<String>,
+    /// Whether entry instances order its engines which model to load.
+    #[serde(default)]
+    pub loading: PoolLoading,
     /// Its engines.
     pub engines: Vec<EngineSettings>,
 }
 
+/// Whether entry instances order engines which model to load.
+#[derive(Default, JsonSchema, Copy, Eq)]
+#[derives::wire]
+#[serde(rename_all = "snake_case")]
+pub enum PoolLoading {
+    /// They do not: each engine serves every model of its pool.
+    #[default]
+    Fixed,
+    /// They do: each engine serves the one model that it has loaded.
+    Managed,
+}
+
 /// A model engine.
 #[derive(JsonSchema)]
 #[derives::wire]
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,6 +7,7 @@
 pub use check::check_settings;
 pub use form::{
     EndpointSettings, EngineFencing, EngineSettings, EntrySettings, FailureDomainSettings,
-    LimitSettings, ListenSettings, Objective, PlatformSettings, PoolSettings, ServiceSettings,
+    LimitSettings, ListenSettings, Objective, PlatformSettings, PoolLoading, PoolSettings,
+    ServiceSettings,
 };
 pub use load::{SettingsFault, load_settings, parse_settings, settings_schema};
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -104,6 +104,9 @@
         tokens: header(&request, "x-memory-tokens").parse().unwrap_or(0),
         generation: 0,
     };
+    if !engine.table.lock().serves(header(&request, "x-model")) {
+        return HttpResponse::TooManyRequests().finish();
+    }
     let Some(generation) = admit(&engine, &attempt, record) else {
         return HttpResponse::TooManyRequests().finish();
     };
@@ -249,7 +252,7 @@
         let mut table = engine.table.lock();
         let answer = if table.options.checks_fencing && form.fencing < table.fencing {
             "fenced"
-        } else if !table.streams.is_empty() && table.model != form.model {
+        } else if table.used_tokens() > 0 && table.model != form.model {
             "busy"
         } else {
             table.fencing = table.fencing.max(form.fencing);
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -5,5 +5,5 @@
 mod stream;
 mod text;
 
-pub use state::{EngineFaults, EngineOptions, EngineStandin};
+pub use state::{EngineFaults, EngineOptions, EngineServing, EngineStandin};
 pub use text::{CRASH_MARK, expected_text, token_text};
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -6,6 +6,15 @@
 
 use parking_lot::Mutex;
 
+/// Which models an engine serves.
+#[derives::tag]
+pub enum EngineServing {
+    /// Whichever is asked for.
+    EveryModel,
+    /// The loaded one; streams of others are refused.
+    LoadedModel,
+}
+
 /// What the engine can do.
 #[derives::value]
 pub struct EngineOptions {
@@ -19,6 +28,8 @@
     pub token_time: Duration,
     /// The model loaded at the start.
     pub model: String,
+    /// Which models it serves.
+    pub serving: EngineServing,
     /// Whether an order with an old fencing number is refused.
     pub checks_fencing: bool,
 }
@@ -31,6 +42,7 @@
             prefill_rate: 400_000,
             token_time: Duration::from_millis(1),
             model: "base".to_owned(),
+            serving: EngineServing::EveryModel,
             checks_fencing: true,
         }
     }
@@ -96,6 +108,10 @@
 const EVENTS_KEPT: usize = 4_096;
 
 impl EngineTable {
+    pub(super) fn serves(&self, model: &str) -> bool {
+        self.options.serving == EngineServing::EveryModel || self.model == model
+    }
+
     pub(super) fn used_tokens(&self) -> u64 {
         let streams: u64 = self.streams.values().map(|stream| stream.tokens).sum();
         let memory: u64 = self.memory.values().map(|memory| memory.tokens).sum();
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use jackdawpoint_standin::RunningStandin;
-use jackdawpoint_standin::engine::{EngineOptions, EngineStandin};
+use jackdawpoint_standin::engine::{EngineOptions, EngineServing, EngineStandin};
 use jackdawpoint_standin::key_value::KeyValueStandin;
 use jackdawpoint_standin::platform::{InstanceListStandin, WeightStandin};
 use jackdawpoint_standin::service::ServiceStandin;
@@ -40,6 +40,9 @@
         /// The model loaded at the start.
         #[arg(long, default_value = "base")]
         model: String,
+        /// Serve only the model that is loaded.
+        #[arg(long)]
+        loaded_only: bool,
         /// Take orders with an old fencing number.
         #[arg(long)]
         ignore_fencing: bool,
@@ -90,6 +93,7 @@
             prefill_rate,
             token_ms,
             model,
+            loaded_only,
             ignore_fencing,
         } => EngineStandin::new(EngineOptions {
             slots,
@@ -97,6 +101,11 @@
             prefill_rate,
             token_time: Duration::from_millis(token_ms),
             model,
+            serving: if loaded_only {
+                EngineServing::LoadedModel
+            } else {
+                EngineServing::EveryModel
+            },
             checks_fencing: !ignore_fencing,
         })
         .serve(listen)?,
