--- a/crates/policy/src/pool/drain.rs
+++ b/crates/policy/src/pool/drain.rs
@@ -106,6 +106,10 @@
         now: Millis,
         decided: &mut Vec<(TicketId, GrantDecision)>,
     ) {
+        // Shorts of one model wait in turn; those of another may have endpoints of their own.
+        if class == WorkClass::Short && !self.has_loaded_models() {
+            return;
+        }
         for waiting in self.queue(class).followers(BACKFILL_ASKS) {
             let Some(placement) = self.place(&waiting, class, now) else {
                 continue;
--- a/crates/policy/src/pool/models.rs
+++ b/crates/policy/src/pool/models.rs
@@ -59,6 +59,12 @@
         }
     }
 
+    /// Whether endpoints serve the model that they have loaded, rather than all of the pool's.
+    pub(super) fn has_loaded_models(&self) -> bool {
+        let mut states = self.endpoints.values();
+        states.any(|state| state.served != ServedModels::All)
+    }
+
     /// Counts an ask's prompt as work for its model.
     pub(super) fn count_demand(&mut self, ask: &GrantAsk, now: Millis) {
         let states = self.endpoints.values();
