--- a/crates/policy/tests/orders.rs
+++ b/crates/policy/tests/orders.rs
@@ -140,3 +140,44 @@
     let orders = due_orders(&engines, &moved, &all(&engines), 8);
     assert!(orders.is_empty(), "streams run on e0");
 }
+
+struct IdleCase {
+    name: &'static str,
+    idle: &'static [&'static str],
+    orders: usize,
+}
+
+const IDLE_CASES: [IdleCase; 3] = [
+    IdleCase {
+        name: "the steward still grants on both",
+        idle: &[],
+        orders: 0,
+    },
+    IdleCase {
+        name: "nothing is granted on one, nothing runs there",
+        idle: &["e1"],
+        orders: 1,
+    },
+    IdleCase {
+        name: "nothing is granted on the other, but a stream runs there",
+        idle: &["e0"],
+        orders: 0,
+    },
+];
+
+#[test]
+fn only_engines_on_which_nothing_is_granted_or_runs_are_ordered() {
+    let engines = engines(&[("e0", "a", 1), ("e1", "a", 0)]);
+    let wanted = all(&engines).into_iter();
+    let desired: BTreeMap<EndpointId, String> =
+        wanted.map(|engine| (engine, "b".to_owned())).collect();
+    for case in &IDLE_CASES {
+        let idle: Vec<EndpointId> = case
+            .idle
+            .iter()
+            .map(|name| EndpointId::new(*name))
+            .collect();
+        let orders = due_orders(&engines, &desired, &idle, 8);
+        assert_eq!(orders.len(), case.orders, "{}", case.name);
+    }
+}
