Take the next in rank for a steward while a lost one is still listed

When the store came back the lapsed entries made the roster shrink to whoever had registered first: the stewardship moved four times in three seconds, once to an instance of 0.12 of a core. Ruled out: the detection of the loss (0.5 s); the stewards' decisions (each board was right about what it knew). Change: a member that was lost, or refuses sessions, is passed over for 2 s, three at once at most; the first of the others in rank decides. A board that hears of no other failure domain uses the endpoints of its own. Members whose entries are missing just after the store's return stay for 2.5 s, as endpoints do.

--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -1,8 +1,8 @@
 //! The instances of the fleet, as the platform lists them, and who decides for them.
 //!
-//! The fleet's steward places all requests on exact counts. While it cannot be reached, the
-//! steward of the failure domain does so for its instances, on the domain's endpoints. An instance
-//! that reaches neither decides alone. All are found by rank, without an election: two stewards at
+//! The fleet's steward places all requests on exact counts. While no member can be reached that
+//! comes before it in rank, the steward of the failure domain does so for its instances, on the
+//! domain's endpoints. An instance that reaches neither decides alone. All are found by rank, without an election: two stewards at
 //! once cost efficiency only, since engines keep their own limits.
 
 use std::cmp::Ordering;
@@ -53,9 +53,11 @@
         self.members.remove(instance);
     }
 
-    /// Keeps only the members in `listed`.
-    pub fn retain(&mut self, listed: &[InstanceId]) {
-        self.members.retain(|known, _| listed.contains(known));
+    /// Members that are not in `listed`.
+    #[must_use]
+    pub fn unlisted(&self, listed: &[InstanceId]) -> Vec<InstanceId> {
+        let is_unlisted = |known: &&InstanceId| !listed.contains(known);
+        self.members.keys().filter(is_unlisted).cloned().collect()
     }
 
     /// How many members there are.
@@ -87,17 +89,33 @@
         domains.len()
     }
 
-    /// The steward of the fleet.
+    /// The steward of the fleet: the first in rank that `is_able`.
     #[must_use]
-    pub fn fleet_steward(&self) -> Option<(&InstanceId, &RosterMember)> {
-        Self::first(self.members.iter())
+    pub fn fleet_steward(
+        &self,
+        is_able: impl Fn(&InstanceId, &RosterMember) -> bool,
+    ) -> Option<(&InstanceId, &RosterMember)> {
+        let able = self
+            .members
+            .iter()
+            .filter(|(instance, member)| is_able(instance, member));
+        Self::first(able)
     }
 
-    /// The steward of a failure domain.
+    /// The steward of a failure domain: the first in rank that `is_able`.
     #[must_use]
-    pub fn domain_steward(&self, domain: &DomainId) -> Option<(&InstanceId, &RosterMember)> {
-        let is_in = |entry: &(&InstanceId, &RosterMember)| entry.1.domain == *domain;
-        Self::first(self.members.iter().filter(is_in))
+    pub fn domain_steward(
+        &self,
+        domain: &DomainId,
+        is_able: impl Fn(&InstanceId, &RosterMember) -> bool,
+    ) -> Option<(&InstanceId, &RosterMember)> {
+        self.fleet_steward(|instance, member| member.domain == *domain && is_able(instance, member))
+    }
+
+    /// The failure domain of a member.
+    #[must_use]
+    pub fn domain_of(&self, instance: &InstanceId) -> Option<&DomainId> {
+        self.members.get(instance).map(|member| &member.domain)
     }
 
     /// The members of a failure domain that read the platform's store for the others, so that its
--- a/crates/policy/tests/catalog.rs
+++ b/crates/policy/tests/catalog.rs
@@ -279,9 +279,11 @@
             };
             roster.put(InstanceId::new(*name), member);
         }
-        let fleet = roster.fleet_steward().map(|(name, _)| name.as_str());
+        let fleet = roster
+            .fleet_steward(|_, _| true)
+            .map(|(name, _)| name.as_str());
         assert_eq!(fleet, Some(case.fleet), "{:?}", case.members);
-        let domain = roster.domain_steward(&DomainId::new("x"));
+        let domain = roster.domain_steward(&DomainId::new("x"), |_, _| true);
         assert_eq!(
             domain.map(|(name, _)| name.as_str()),
             case.domain,
--- a/crates/relay/src/steward.rs
+++ b/crates/relay/src/steward.rs
@@ -1,6 +1,10 @@
-//! Asks the steward of the fleet for places, the steward of the failure domain while that one
-//! cannot be reached, and this instance's own board while neither can; and serves other instances
-//! that take this one for a steward.
+//! Asks the steward of the fleet for places, the steward of the failure domain while none has been
+//! found, and this instance's own board while neither can be reached; and serves other instances that
+//! take this one for a steward.
+//!
+//! The stewards are the first in rank that can be reached. A member that was lost, or refused a
+//! session, is passed over for a while whatever the roster says: the platform, from which the roster
+//! comes, may be away just then.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -16,7 +20,7 @@
     WorkVerdict,
 };
 use policy::ids::{DomainId, InstanceId, Millis};
-use policy::roster::FleetRoster;
+use policy::roster::{FleetRoster, RosterMember};
 use tokio::sync::Notify;
 
 use crate::clock::BootClock;
@@ -29,11 +33,20 @@
 /// while a machine has used up its share of the processor.
 const PING_TIME: Duration = Duration::from_millis(500);
 
+/// Members passed over at once at most. More than a lost steward, its successor and one that starts
+/// anew mean that this instance is cut off: its failure domain's steward decides then.
+const MOST_PASSED_OVER: usize = 3;
+
+/// Time after the store's return in which members whose entries lapsed may still come back, in
+/// milliseconds: they register again within about two seconds.
+const MEMBER_RETURN_TIME: Millis = 2_500;
+
 /// How often sessions are looked after.
 const CARE_PERIOD: Duration = Duration::from_millis(250);
 
-/// How often a steward that could not be reached is tried again, in milliseconds.
-const REJOIN_PERIOD: Millis = 500;
+/// Time for which a steward that was lost or could not be reached is passed over, in milliseconds:
+/// about what a restart takes, so that most are tried again once they serve.
+const PASSED_OVER_TIME: Millis = 2_000;
 
 /// How often a session without runs is pinged, in milliseconds.
 const IDLE_PING_PERIOD: Millis = 1_000;
@@ -87,16 +100,13 @@
 struct DeskSessions {
     fleet: Option<Rc<OpenSession>>,
     domain: Option<Rc<OpenSession>>,
-    /// When each may be tried again.
-    fleet_retry: Millis,
-    domain_retry: Millis,
 }
 
 impl DeskSessions {
-    fn slot(&mut self, rank: StewardRank) -> (&mut Option<Rc<OpenSession>>, &mut Millis) {
+    fn slot(&mut self, rank: StewardRank) -> &mut Option<Rc<OpenSession>> {
         match rank {
-            StewardRank::Fleet => (&mut self.fleet, &mut self.fleet_retry),
-            StewardRank::Domain => (&mut self.domain, &mut self.domain_retry),
+            StewardRank::Fleet => &mut self.fleet,
+            StewardRank::Domain => &mut self.domain,
         }
     }
 }
@@ -117,6 +127,12 @@
     keeper: Rc<BoardKeeper>,
     clock: BootClock,
     roster: RefCell<FleetRoster>,
+    /// Members that are passed over as stewards, and until when.
+    passed_over: RefCell<HashMap<InstanceId, Millis>>,
+    /// Members whose entries are missing since the store's return, and until when they stay.
+    departing: RefCell<HashMap<InstanceId, Millis>>,
+    /// When the store last came back.
+    regained_at: Cell<Option<Millis>>,
     sessions: RefCell<DeskSessions>,
     next_session: Cell<u64>,
     runs: RefCell<HashMap<u64, DeskRun>>,
@@ -140,6 +156,9 @@
             keeper,
             clock,
             roster: RefCell::new(FleetRoster::new()),
+            passed_over: RefCell::new(HashMap::new()),
+            departing: RefCell::new(HashMap::new()),
+            regained_at: Cell::new(None),
             sessions: RefCell::new(DeskSessions::default()),
             next_session: Cell::new(OWN_SESSION + 1),
             runs: RefCell::new(HashMap::new()),
@@ -149,12 +168,54 @@
         }
     }
 
-    /// Changes what is known of the fleet's instances.
-    pub fn change_roster(&self, change: impl FnOnce(&mut FleetRoster)) {
-        change(&mut self.roster.borrow_mut());
+    /// A member's entry is there or has changed.
+    pub fn put_member(&self, instance: InstanceId, member: RosterMember) {
+        self.departing.borrow_mut().remove(&instance);
+        self.roster.borrow_mut().put(instance, member);
         self.changed.notify_one();
     }
 
+    /// A member's entry is gone. Shortly after the store's return it is kept for a while.
+    pub fn remove_member(&self, instance: &InstanceId) {
+        let now = self.clock.now();
+        let regained_at = self.regained_at.get();
+        let returned = regained_at.map(|at| at + MEMBER_RETURN_TIME);
+        match returned.filter(|until| now < *until) {
+            Some(until) => {
+                let mut departing = self.departing.borrow_mut();
+                departing.entry(instance.clone()).or_insert(until);
+            }
+            None => self.roster.borrow_mut().remove(instance),
+        }
+        self.changed.notify_one();
+    }
+
+    /// Only the members in `listed` have entries.
+    pub fn list_members(&self, listed: &[InstanceId]) {
+        let gone = self.roster.borrow().unlisted(listed);
+        for instance in &gone {
+            self.remove_member(instance);
+        }
+    }
+
+    /// The store answers again.
+    pub fn store_regained(&self) {
+        self.regained_at.set(Some(self.clock.now()));
+    }
+
+    /// Removes members that have not come back.
+    fn end_departures(&self) {
+        let now = self.clock.now();
+        let mut roster = self.roster.borrow_mut();
+        self.departing.borrow_mut().retain(|instance, until| {
+            let stays = now < *until;
+            if !stays {
+                roster.remove(instance);
+            }
+            stays
+        });
+    }
+
     /// Whether this instance reads the platform's store for its failure domain, or for itself alone.
     #[must_use]
     pub fn is_reader(&self) -> bool {
@@ -184,6 +245,7 @@
     pub async fn run(self: Rc<Self>) {
         loop {
             self.end_silent_sessions();
+            self.end_departures();
             self.care(StewardRank::Fleet).await;
             let is_settled = self.decides_for_fleet() || self.sessions.borrow().fleet.is_some();
             if is_settled {
@@ -200,16 +262,36 @@
     fn decides_for_fleet(&self) -> bool {
         let roster = self.roster.borrow();
         roster
-            .fleet_steward()
+            .fleet_steward(|instance, _| self.is_able(instance))
             .is_none_or(|(steward, _)| *steward == self.instance)
     }
 
+    /// Whether a member may be taken for a steward.
+    fn is_able(&self, instance: &InstanceId) -> bool {
+        let passed_over = self.passed_over.borrow();
+        let until = passed_over.get(instance).copied().unwrap_or(0);
+        self.clock.now() >= until
+    }
+
+    /// Passes a member over as a steward for a while.
+    fn pass_over(&self, instance: &InstanceId) {
+        let now = self.clock.now();
+        let mut passed_over = self.passed_over.borrow_mut();
+        passed_over.retain(|_, until| *until > now);
+        // An instance that has read no configuration yet learns nothing from others that have not.
+        if passed_over.len() < MOST_PASSED_OVER && self.keeper.has_pools() {
+            passed_over.insert(instance.clone(), now + PASSED_OVER_TIME);
+            self.changed.notify_one();
+        }
+    }
+
     /// The steward of a rank, unless it is this instance.
     fn steward(&self, rank: StewardRank) -> Option<(InstanceId, SocketAddr)> {
         let roster = self.roster.borrow();
+        let is_able = |instance: &InstanceId, _: &RosterMember| self.is_able(instance);
         let steward = match rank {
-            StewardRank::Fleet => roster.fleet_steward(),
-            StewardRank::Domain => roster.domain_steward(&self.domain),
+            StewardRank::Fleet => roster.fleet_steward(is_able),
+            StewardRank::Domain => roster.domain_steward(&self.domain, is_able),
         };
         steward
             .filter(|(instance, _)| **instance != self.instance)
@@ -220,9 +302,9 @@
     async fn care(self: &Rc<Self>, rank: StewardRank) {
         let now = self.clock.now();
         let wanted = self.steward(rank);
-        let open = self.sessions.borrow_mut().slot(rank).0.clone();
+        let open = self.sessions.borrow_mut().slot(rank).clone();
         let Some((steward, address)) = wanted else {
-            *self.sessions.borrow_mut().slot(rank).0 = None;
+            *self.sessions.borrow_mut().slot(rank) = None;
             if let Some(open) = open {
                 self.disown(open.number);
             }
@@ -239,9 +321,6 @@
                 self.lose(open.number, "closed");
             }
         }
-        if now < *self.sessions.borrow_mut().slot(rank).1 {
-            return;
-        }
         self.join(rank, steward, address).await;
     }
 
@@ -252,7 +331,7 @@
         let link = match joined {
             Ok(link) => link,
             Err(fault) => {
-                *self.sessions.borrow_mut().slot(rank).1 = now + REJOIN_PERIOD;
+                self.pass_over(&steward);
                 spdlog::info!("steward not reached", kv: {
                     steward = steward.as_str(),
                     rank:? = rank,
@@ -277,7 +356,7 @@
             pinged_at: Cell::new(now),
             is_pinging: Cell::new(false),
         };
-        *self.sessions.borrow_mut().slot(rank).0 = Some(Rc::new(session));
+        *self.sessions.borrow_mut().slot(rank) = Some(Rc::new(session));
         self.move_runs(&held, number);
     }
 
@@ -364,7 +443,7 @@
         self.losses.set(self.losses.get() + 1);
         spdlog::warn!("steward lost", kv: { steward = lost.steward.as_str(), cause = cause });
         self.disown(number);
-        self.changed.notify_one();
+        self.pass_over(&lost.steward);
     }
 
     fn disown(&self, number: u64) {
@@ -394,10 +473,27 @@
         }
     }
 
+    /// The endpoints that a board of this instance may use. One that hears of no other failure domain
+    /// is cut off with its own.
+    fn reach(&self) -> AskReach {
+        let roster = self.roster.borrow();
+        if roster.domains() <= 1 {
+            return AskReach::Fleet;
+        }
+        let is_far = |session: &HostedSession| {
+            let domain = roster.domain_of(&session.instance);
+            domain.is_some_and(|domain| *domain != self.domain)
+        };
+        if self.hosted.borrow().values().any(is_far) {
+            return AskReach::Fleet;
+        }
+        AskReach::Domain(self.domain.clone())
+    }
+
     /// Who decides now, and on which endpoints.
     fn target(&self) -> (Option<Rc<OpenSession>>, AskReach) {
         if self.decides_for_fleet() {
-            return (None, AskReach::Fleet);
+            return (None, self.reach());
         }
         let sessions = self.sessions.borrow();
         let is_open = |session: &&Rc<OpenSession>| session.link.is_open();
@@ -582,8 +678,11 @@
         &self,
         session: u64,
         number: u64,
-        work: WorkAsk,
+        mut work: WorkAsk,
     ) -> LocalBoxFuture<'static, WorkVerdict> {
+        if work.reach == AskReach::Fleet {
+            work.reach = self.reach();
+        }
         self.keeper.ask(RunKey::new(session, number), work)
     }
 
--- a/crates/relay/tests/changes.rs
+++ b/crates/relay/tests/changes.rs
@@ -134,17 +134,15 @@
         keeper,
         clock.clone(),
     ));
-    desk.change_roster(|roster| {
-        for (name, address) in members {
-            let member = RosterMember {
-                domain: domain.clone(),
-                address: *address,
-                incarnation: Incarnation(1),
-                capacity: 1.0,
-            };
-            roster.put(InstanceId::new(*name), member);
-        }
-    });
+    for (name, address) in members {
+        let member = RosterMember {
+            domain: domain.clone(),
+            address: *address,
+            incarnation: Incarnation(1),
+            capacity: 1.0,
+        };
+        desk.put_member(InstanceId::new(*name), member);
+    }
     PassedOnStore::new(direct, desk, clock, link_rate)
 }
 
--- a/crates/relay/tests/steward.rs
+++ b/crates/relay/tests/steward.rs
@@ -95,17 +95,15 @@
     }
 
     fn know(&self, others: &[&TestInstance]) {
-        self.desk.change_roster(|roster| {
-            for other in others {
-                let member = RosterMember {
-                    domain: DomainId::new(other.domain),
-                    address: other.address,
-                    incarnation: Incarnation(1),
-                    capacity: other.capacity,
-                };
-                roster.put(InstanceId::new(other.name), member);
-            }
-        });
+        for other in others {
+            let member = RosterMember {
+                domain: DomainId::new(other.domain),
+                address: other.address,
+                incarnation: Incarnation(1),
+                capacity: other.capacity,
+            };
+            self.desk.put_member(InstanceId::new(other.name), member);
+        }
     }
 
     async fn ask(&self, number: u64) -> WorkVerdict {
@@ -193,7 +191,7 @@
             first.listening.abort();
             for one in [&second, &third] {
                 let gone = InstanceId::new("first");
-                one.desk.change_roster(|roster| roster.remove(&gone));
+                one.desk.remove_member(&gone);
             }
             settle().await;
             assert_eq!(
@@ -240,3 +238,115 @@
         })
         .await;
 }
+
+#[tokio::test]
+async fn the_next_in_rank_decides_while_a_lost_steward_is_still_listed() {
+    // The store is away, so that nobody hears that the steward is gone.
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            let first = TestInstance::new("first", "x", 1.0).await;
+            let second = TestInstance::new("second", "y", 0.8).await;
+            let third = TestInstance::new("third", "z", 0.5).await;
+            let fourth = TestInstance::new("fourth", "x", 0.4).await;
+            let all = [&first, &second, &third, &fourth];
+            for one in [&second, &third, &fourth] {
+                one.know(&all);
+            }
+            first.listening.abort();
+            settle().await;
+            settle().await;
+            for (number, one) in [&second, &third, &fourth].iter().enumerate() {
+                let verdict = one.ask(number as u64).await;
+                assert!(matches!(verdict, WorkVerdict::Granted(_)));
+            }
+            assert_eq!(
+                second.keeper.counts(),
+                (0, 3),
+                "one board counts the runs of all"
+            );
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn a_steward_that_refuses_sessions_is_passed_over_for_the_next() {
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            let anew = TestInstance::without_pools("anew", "x", 1.0).await;
+            let second = TestInstance::new("second", "x", 0.8).await;
+            let third = TestInstance::new("third", "x", 0.5).await;
+            for one in [&second, &third] {
+                one.know(&[&anew, &second, &third]);
+            }
+            settle().await;
+            for (number, one) in [&second, &third].iter().enumerate() {
+                let verdict = one.ask(number as u64).await;
+                assert!(matches!(verdict, WorkVerdict::Granted(_)));
+            }
+            assert_eq!(second.keeper.counts(), (0, 2));
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn a_steward_that_hears_of_no_other_domain_uses_its_own_endpoints() {
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            let steward = TestInstance::new("steward", "x", 1.0).await;
+            let near = TestInstance::new("near", "x", 0.8).await;
+            let cut_off = TestInstance::new("cut-off", "y", 0.5).await;
+            steward.keeper.change(|board| {
+                let far = EndpointFacts {
+                    domain: DomainId::new("y"),
+                    ..endpoint("one")
+                };
+                board.set_endpoints(&pool(), &[far, endpoint("two")]);
+            });
+            cut_off.listening.abort();
+            for one in [&steward, &near] {
+                one.know(&[&steward, &near, &cut_off]);
+            }
+            settle().await;
+            let mut hosts = Vec::new();
+            for (number, one) in [&steward, &near].iter().enumerate() {
+                if let WorkVerdict::Granted(grant) = one.ask(number as u64).await {
+                    hosts.push(grant.host.endpoint.as_str().to_owned());
+                }
+            }
+            assert_eq!(hosts, ["two", "two"]);
+            // Once it hears of the other domain again it uses all.
+            let other = TestInstance::new("other", "y", 0.5).await;
+            for one in [&steward, &other] {
+                one.know(&[&steward, &near, &other]);
+            }
+            settle().await;
+            assert!(matches!(other.ask(9).await, WorkVerdict::Granted(_)));
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn lapsed_entries_do_not_move_the_stewardship_when_the_store_returns() {
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            let steward = TestInstance::new("steward", "x", 1.0).await;
+            let second = TestInstance::new("second", "y", 0.5).await;
+            for one in [&steward, &second] {
+                one.know(&[&steward, &second]);
+            }
+            settle().await;
+            // All entries lapsed while the store was away; the second has registered again first.
+            for one in [&steward, &second] {
+                one.desk.store_regained();
+                one.desk.list_members(&[InstanceId::new("second")]);
+            }
+            settle().await;
+            assert!(matches!(second.ask(1).await, WorkVerdict::Granted(_)));
+            assert_eq!(steward.keeper.counts(), (0, 1));
+            // An entry that does not come back is dropped.
+            tokio::time::sleep(Duration::from_secs(3)).await;
+            assert!(matches!(second.ask(2).await, WorkVerdict::Granted(_)));
+            assert_eq!(second.keeper.counts().1, 2, "the second decides for itself");
+        })
+        .await;
+}
