Keep a steward whose entry has lapsed while its sessions answer

Two boards placed prompts on the same engines for five seconds, each counting its own. Ruled out: slow engines (the late ones were spread over eight engines, each with others in time), the passes' estimate (right on the same engines before 6 s). Change: a session that answers outweighs a missing entry. Test that failed first: an_entry_that_lapses_does_not_depose_a_steward_that_ answers. Two tests dropped a steward's entry while its sessions still answered and expected another steward; now the steward stops in them, as their text says.

--- a/crates/relay/src/steward.rs
+++ b/crates/relay/src/steward.rs
@@ -133,6 +133,7 @@
     departing: RefCell<HashMap<InstanceId, Millis>>,
     /// When the store last came back.
     regained_at: Cell<Option<Millis>>,
+    is_retired: Cell<bool>,
     sessions: RefCell<DeskSessions>,
     next_session: Cell<u64>,
     runs: RefCell<HashMap<u64, DeskRun>>,
@@ -159,6 +160,7 @@
             passed_over: RefCell::new(HashMap::new()),
             departing: RefCell::new(HashMap::new()),
             regained_at: Cell::new(None),
+            is_retired: Cell::new(false),
             sessions: RefCell::new(DeskSessions::default()),
             next_session: Cell::new(OWN_SESSION + 1),
             runs: RefCell::new(HashMap::new()),
@@ -203,6 +205,11 @@
         self.regained_at.set(Some(self.clock.now()));
     }
 
+    /// This instance is about to stop: it is nobody's steward any more.
+    pub fn retire(&self) {
+        self.is_retired.set(true);
+    }
+
     /// Removes members that have not come back.
     fn end_departures(&self) {
         let now = self.clock.now();
@@ -260,12 +267,24 @@
     }
 
     fn decides_for_fleet(&self) -> bool {
+        if self.unlisted_steward(StewardRank::Fleet).is_some() {
+            return false;
+        }
         let roster = self.roster.borrow();
         roster
             .fleet_steward(|instance, _| self.is_able(instance))
             .is_none_or(|(steward, _)| *steward == self.instance)
     }
 
+    /// The steward of an open session whose entry is gone. A lapsed entry only says that the platform
+    /// does not hear of an instance; its answers say that it decides, for others too.
+    fn unlisted_steward(&self, rank: StewardRank) -> Option<(InstanceId, SocketAddr)> {
+        let open = self.sessions.borrow_mut().slot(rank).clone()?;
+        let is_listed = self.roster.borrow().domain_of(&open.steward).is_some();
+        let stays = open.link.is_open() && !is_listed;
+        stays.then(|| (open.steward.clone(), open.address))
+    }
+
     /// Whether a member may be taken for a steward.
     fn is_able(&self, instance: &InstanceId) -> bool {
         let passed_over = self.passed_over.borrow();
@@ -287,6 +306,9 @@
 
     /// The steward of a rank, unless it is this instance.
     fn steward(&self, rank: StewardRank) -> Option<(InstanceId, SocketAddr)> {
+        if let Some(unlisted) = self.unlisted_steward(rank) {
+            return Some(unlisted);
+        }
         let roster = self.roster.borrow();
         let is_able = |instance: &InstanceId, _: &RosterMember| self.is_able(instance);
         let steward = match rank {
@@ -652,7 +674,7 @@
 impl StewardHandler for StewardDesk {
     fn join(&self, instance: InstanceId, held: Vec<HeldRun>) -> Option<u64> {
         // A process that was started anew while the store is away still stands in the rosters.
-        if !self.keeper.has_pools() {
+        if !self.keeper.has_pools() || self.is_retired.get() {
             spdlog::info!("session refused", kv: { instance = instance.as_str() });
             return None;
         }
@@ -698,6 +720,9 @@
     }
 
     fn is_current(&self, session: u64) -> bool {
+        if self.is_retired.get() {
+            return false;
+        }
         let now = self.clock.now();
         let mut hosted = self.hosted.borrow_mut();
         let Some(known) = hosted.get_mut(&session) else {
--- a/crates/relay/tests/steward.rs
+++ b/crates/relay/tests/steward.rs
@@ -187,7 +187,8 @@
             settle().await;
             assert!(matches!(third.ask(1).await, WorkVerdict::Granted(_)));
             assert_eq!(first.keeper.counts(), (0, 1));
-            // The steward's entry goes; its place falls to the next in rank.
+            // The steward stops, and its entry goes; its place falls to the next in rank.
+            first.desk.retire();
             first.listening.abort();
             for one in [&second, &third] {
                 let gone = InstanceId::new("first");
@@ -343,10 +344,42 @@
             settle().await;
             assert!(matches!(second.ask(1).await, WorkVerdict::Granted(_)));
             assert_eq!(steward.keeper.counts(), (0, 1));
-            // An entry that does not come back is dropped.
+            // An entry that does not come back is dropped; the steward itself is gone too.
+            steward.desk.retire();
+            steward.listening.abort();
             tokio::time::sleep(Duration::from_secs(3)).await;
             assert!(matches!(second.ask(2).await, WorkVerdict::Granted(_)));
             assert_eq!(second.keeper.counts().1, 2, "the second decides for itself");
         })
         .await;
 }
+
+#[tokio::test]
+async fn an_entry_that_lapses_does_not_depose_a_steward_that_answers() {
+    // The store turns the steward away, so that its entry lapses; all others are served.
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            let first = TestInstance::new("first", "x", 1.0).await;
+            let second = TestInstance::new("second", "y", 0.8).await;
+            let third = TestInstance::new("third", "z", 0.5).await;
+            for one in [&first, &second, &third] {
+                one.know(&[&first, &second, &third]);
+            }
+            settle().await;
+            for one in [&second, &third] {
+                one.desk.remove_member(&InstanceId::new("first"));
+            }
+            settle().await;
+            for (number, one) in [&first, &second, &third].iter().enumerate() {
+                let verdict = one.ask(number as u64).await;
+                assert!(matches!(verdict, WorkVerdict::Granted(_)));
+            }
+            assert_eq!(first.keeper.counts(), (0, 3), "one board counts all runs");
+            // It stops for good: its place falls to the next.
+            first.desk.retire();
+            settle().await;
+            settle().await;
+            assert_eq!(second.keeper.counts(), (0, 2));
+        })
+        .await;
+}
