Host answers in their caller's failure domain

Hosts were chosen without regard to where callers are, so that with three domains four ninths of all answers crossed. Ruled out: leaving silent streams sooner (the pause aim is missed all the same). Change: a host in another failure domain than the caller's instance costs 200 ms; the steward knows that domain of the session's instance. Test that failed first: an_answer_stays_in_its_callers_failure_domain.

--- a/crates/model/src/experiment.rs
+++ b/crates/model/src/experiment.rs
@@ -205,6 +205,7 @@
             time_left: kind.deadline.saturating_sub(to_whole(waited)),
             retry: None,
             excluded: Vec::new(),
+            home: Some(domain_name(record % self.load.engines.domains)),
             fingerprint: Fingerprint(record as u64),
         };
         let key = RunKey::new(1, record as u64);
@@ -392,6 +393,10 @@
     pub use_share: f64,
 }
 
+fn domain_name(index: usize) -> DomainId {
+    DomainId::new(format!("domain-{index}"))
+}
+
 fn engine_facts(index: usize, domains: usize) -> EndpointFacts {
     let [high, low] = u16::try_from(index).unwrap_or(u16::MAX).to_be_bytes();
     let address = IpAddr::V4(Ipv4Addr::new(127, 1, high, low));
@@ -400,7 +405,7 @@
             endpoint: EndpointId::new(format!("engine-{index}")),
             address: SocketAddr::new(address, 1),
         },
-        domain: DomainId::new(format!("domain-{}", index % domains)),
+        domain: domain_name(index % domains),
         state: EndpointState::Ready,
     }
 }
--- a/crates/peer/src/dispatch_message.rs
+++ b/crates/peer/src/dispatch_message.rs
@@ -64,6 +64,8 @@
         time_left: form.get_time_left(),
         retry: RetryReason::from_code(retry),
         excluded: read_names(form.get_excluded()?)?,
+        // The steward knows it of the instance that asks.
+        home: None,
         fingerprint: Fingerprint(form.get_fingerprint()),
     })
 }
--- a/crates/policy/src/dispatch/limits.rs
+++ b/crates/policy/src/dispatch/limits.rs
@@ -46,6 +46,9 @@
     /// Advantage, in milliseconds to the first event, as the host of a long prompt, of an engine on
     /// which others write already: engines without writers read parts of any length.
     pub host_open_ms: f64,
+    /// Advantage, in milliseconds to the first event, of a host in the caller's failure domain. An answer
+    /// takes seconds, and is lost when a domain that it crosses into is cut off.
+    pub far_ms: f64,
     /// Cost, in milliseconds, of reading a part on an engine on which tight pause aims are held.
     pub beside_ms: f64,
     /// Pause aim up to which a request counts as tight.
@@ -97,6 +100,7 @@
             open_ms: 300.0,
             gather_ms: 150.0,
             host_open_ms: 200.0,
+            far_ms: 200.0,
             beside_ms: 200.0,
             tight_pause: 300,
             memory_share: 0.97,
--- a/crates/policy/src/dispatch/place.rs
+++ b/crates/policy/src/dispatch/place.rs
@@ -12,7 +12,7 @@
 use super::reading::{EngineWork, PartOutlook, ReadingShare};
 use super::work::{AskReach, WorkAsk};
 use crate::figure::{count_float, to_float, to_whole};
-use crate::ids::Millis;
+use crate::ids::{DomainId, Millis};
 
 /// Numbers of engines among which a prompt is split.
 const SPLITS: [usize; 10] = [1, 2, 3, 4, 5, 6, 8, 11, 14, 17];
@@ -285,7 +285,8 @@
             first_ms,
             due: self.due(ask, first_ms),
         };
-        let cost = dearest + self.limits.helper_ms * count_float(split - 1);
+        let helpers_ms = self.limits.helper_ms * count_float(split - 1);
+        let cost = dearest + helpers_ms + self.far_ms(ask, chosen.host.1);
         Some((cost, plan))
     }
 
@@ -311,11 +312,13 @@
             self.can_host(ask, entry.1, split) && entry.1.free_tokens >= tokens
         };
         let hosting_cost = |entry: &CostedCandidate<'_, '_>| {
-            if split > 1 && entry.1.endpoint.hosted.is_empty() {
-                entry.0 + self.limits.host_open_ms
+            let is_opened = split > 1 && entry.1.endpoint.hosted.is_empty();
+            let open_ms = if is_opened {
+                self.limits.host_open_ms
             } else {
-                entry.0
-            }
+                0.0
+            };
+            entry.0 + open_ms + self.far_ms(ask, entry.1)
         };
         let host = *fitting
             .iter()
@@ -383,6 +386,15 @@
         })
     }
 
+    /// What it costs that an answer crosses failure domains, in milliseconds.
+    fn far_ms(&self, ask: &WorkAsk, host: &PlaceCandidate<'_>) -> f64 {
+        let is_far = |home: &DomainId| *home != host.endpoint.facts.domain;
+        if ask.home.as_ref().is_some_and(is_far) {
+            return self.limits.far_ms;
+        }
+        0.0
+    }
+
     /// What a part of `ask` on an engine costs beyond its time, in milliseconds.
     fn penalty(&self, ask: &WorkAsk, candidate: &PlaceCandidate<'_>) -> f64 {
         let limits = self.limits;
--- a/crates/policy/src/dispatch/work.rs
+++ b/crates/policy/src/dispatch/work.rs
@@ -58,6 +58,8 @@
     pub retry: Option<RetryReason>,
     /// Endpoints that this request has failed on.
     pub excluded: Vec<EndpointId>,
+    /// Failure domain of the caller's instance, if the board's keeper knows it.
+    pub home: Option<DomainId>,
     /// Hash of the request's content and account, the same each time that it comes.
     pub fingerprint: Fingerprint,
 }
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -81,6 +81,7 @@
         time_left,
         retry: None,
         excluded: Vec::new(),
+        home: None,
         fingerprint: Fingerprint(prompt_tokens),
     }
 }
--- a/crates/policy/tests/reading.rs
+++ b/crates/policy/tests/reading.rs
@@ -62,6 +62,7 @@
         time_left: 15_000,
         retry: None,
         excluded: Vec::new(),
+        home: None,
         fingerprint: Fingerprint(prompt_tokens),
     }
 }
@@ -243,3 +244,32 @@
         assert!(reading + PASS <= 250, "{endpoint:?} reads {reading} ms");
     }
 }
+
+#[test]
+fn an_answer_stays_in_its_callers_failure_domain() {
+    // Load pattern: answers of seconds are under way when a failure domain is cut off; those that
+    // cross its border are lost.
+    let mut board = board(6);
+    let facts = |index: u8| EndpointFacts {
+        place: EndpointPlace {
+            endpoint: EndpointId::new(format!("engine-{index}")),
+            address: SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 0, 0, index)), 80),
+        },
+        domain: DomainId::new(if index < 3 { "near" } else { "far" }),
+        state: EndpointState::Ready,
+    };
+    board.set_endpoints(&pool(), &(0..6).map(facts).collect::<Vec<_>>());
+    let homes = ["near", "far", "near", "far", "near", "far"];
+    for (number, home) in (0..).zip(homes) {
+        let asked = WorkAsk {
+            home: Some(DomainId::new(home)),
+            ..short()
+        };
+        let now = number * 300;
+        let placed = grant(&mut board, number, asked, now);
+        board.first_event(key(number), now + placed.expected_first);
+        let engines = if home == "near" { 0..3 } else { 3..6 };
+        let hosts: Vec<EndpointId> = engines.map(|index| facts(index).place.endpoint).collect();
+        assert!(hosts.contains(&placed.host.endpoint), "{home}: {placed:?}");
+    }
+}
--- a/crates/relay/src/steward.rs
+++ b/crates/relay/src/steward.rs
@@ -548,6 +548,7 @@
             }
         }
         work.reach = self.target().1;
+        work.home = Some(self.domain.clone());
         let passed = self.clock.now().saturating_sub(began);
         work.waited = waited + passed;
         work.time_left = time_left.saturating_sub(passed);
@@ -594,6 +595,13 @@
         }
     }
 
+    /// The failure domain of the instance at the other end of a session.
+    fn home_of(&self, session: u64) -> Option<DomainId> {
+        let hosted = self.hosted.borrow();
+        let instance = &hosted.get(&session)?.instance;
+        self.roster.borrow().domain_of(instance).cloned()
+    }
+
     fn end_silent_sessions(&self) {
         let now = self.clock.now();
         let is_silent =
@@ -705,6 +713,7 @@
         if work.reach == AskReach::Fleet {
             work.reach = self.reach();
         }
+        work.home = self.home_of(session);
         self.keeper.ask(RunKey::new(session, number), work)
     }
 
--- a/crates/relay/src/streamed.rs
+++ b/crates/relay/src/streamed.rs
@@ -368,6 +368,7 @@
             time_left: left,
             retry: self.retry,
             excluded: self.excluded.clone(),
+            home: None,
             fingerprint: request.fingerprint(),
         }
     }
--- a/crates/relay/tests/steward.rs
+++ b/crates/relay/tests/steward.rs
@@ -138,6 +138,7 @@
         time_left: 2_000,
         retry: None,
         excluded: Vec::new(),
+        home: None,
         fingerprint: Fingerprint(1),
     }
 }
