--- a/crates/policy/src/dispatch/place.rs
+++ b/crates/policy/src/dispatch/place.rs
@@ -87,11 +87,12 @@
         part_ms * self.pace <= self.room_ms.min(self.outlook(share).slack_ms)
     }
 
-    /// Whether the events of a run with this pause aim, in milliseconds, would come in time: when
-    /// it begins to write, all that is still to be read here is read in one pass.
+    /// Whether a run may write here whose events should come every `pause_ms`. On an engine that
+    /// only reads, its part goes ahead of what is pending; that is read in one pass with the run's
+    /// second event.
     fn can_write(&self, share: ReadingShare, pause_ms: f64) -> bool {
-        let is_kept_ahead = share == ReadingShare::Part && self.part.work == EngineWork::Reading;
-        !is_kept_ahead || self.part.pending_ms + self.pass_ms <= pause_ms
+        let leaves_pending = share == ReadingShare::Part && self.part.work == EngineWork::Reading;
+        !leaves_pending || self.part.pending_ms + self.pass_ms <= pause_ms
     }
 }
 
--- a/crates/policy/src/dispatch/reading.rs
+++ b/crates/policy/src/dispatch/reading.rs
@@ -3,9 +3,8 @@
 //! An engine on which something writes works in long passes: what arrives during one is read in the
 //! next, whole, and everybody who writes there waits for that. An engine on which nothing writes
 //! reads one part after the other. The newest part of a prompt that several engines read goes ahead
-//! of everything else; prompts that an engine reads alone follow in the order of their arrival.
-//! (Seen in traces: with this order a replay finds the first events of long prompts within 5 % at
-//! the median; with the oldest part first it is off by up to three times.)
+//! of everything else; prompts that an engine reads alone follow in the order of their arrival
+//! (docs/design/09-worst-load.md has the traces).
 
 use super::work::RunKey;
 
--- a/crates/relay/src/steward.rs
+++ b/crates/relay/src/steward.rs
@@ -210,7 +210,7 @@
         self.is_retired.set(true);
     }
 
-    /// Removes members that have not come back.
+    /// Removes members whose entries have not come back in time.
     fn end_departures(&self) {
         let now = self.clock.now();
         let mut roster = self.roster.borrow_mut();
