Make two tests of stewards fail without the code they stand for

With the reach of a cut-off board and the grace of lapsed members both switched off, a_steward_that_hears_of_no_other_domain_uses_its_own_endpoints and lapsed_entries_do_not_move_the_stewardship_when_the_store_returns still passed: the caller's domain decided in the one, an open session in the other. Now a third ask must wait for the near endpoint, and an instance without a session must take the same steward. With both switched off the two fail, else 9 of 9 pass.

--- a/crates/relay/tests/steward.rs
+++ b/crates/relay/tests/steward.rs
@@ -316,6 +316,11 @@
                 }
             }
             assert_eq!(hosts, ["two", "two"]);
+            // The near endpoint is full: a third waits for it, though the far one is free.
+            let waiting = Rc::clone(&near.desk).ask(8, work());
+            let third = tokio::time::timeout(Duration::from_millis(200), waiting).await;
+            assert!(third.is_err(), "{third:?}");
+            near.desk.finish(8, RunReport::new(RunEnd::CallerLeft));
             // Once it hears of the other domain again it uses all.
             let other = TestInstance::new("other", "y", 0.5).await;
             for one in [&steward, &other] {
@@ -342,8 +347,19 @@
                 one.desk.store_regained();
                 one.desk.list_members(&[InstanceId::new("second")]);
             }
+            // One that has no session yet takes the same steward.
+            let third = TestInstance::new("third", "z", 0.4).await;
+            third.know(&[&steward, &second, &third]);
+            third.desk.store_regained();
+            third
+                .desk
+                .list_members(&[InstanceId::new("second"), InstanceId::new("third")]);
             settle().await;
+            assert!(matches!(third.ask(1).await, WorkVerdict::Granted(_)));
+            assert_eq!(steward.keeper.counts(), (0, 1));
+            third.desk.finish(1, RunReport::new(RunEnd::Served));
             assert!(matches!(second.ask(1).await, WorkVerdict::Granted(_)));
+            settle().await;
             assert_eq!(steward.keeper.counts(), (0, 1));
             // An entry that does not come back is dropped; the steward itself is gone too.
             steward.desk.retire();
