Log each run that failed with the fingerprint of its request

Cause: the logs cannot tell the hypotheses on repeated crashing requests apart: they do not show which requests are repetitions of each other, nor whether a run broke before or after its first event. Change: one line for each run that was sent and ended without a whole answer: fingerprint, endpoint, outcome, reason, events passed on, stewards lost so far.

--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -1,6 +1,7 @@
 //! Quarantine of prompts that crash the endpoints that run them.
 
 use std::collections::HashMap;
+use std::fmt;
 
 use crate::ids::{EndpointId, Millis};
 
@@ -10,6 +11,12 @@
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
 
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
 /// Quarantine status of a fingerprint.
 #[derives::tag]
 pub enum PoisonStatus {
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -309,6 +309,26 @@
         self.retries.borrow_mut().budget(service).retry() == RetryDecision::Allowed
     }
 
+    /// Logs a run that ended without a whole answer after it was sent. The fingerprint connects the
+    /// runs of one request across attempts and instances.
+    pub(crate) fn log_failed_run(
+        &self,
+        request: &RelayRequest,
+        endpoint: &EndpointId,
+        outcome: RunOutcome,
+        reason: RetryReason,
+    ) {
+        spdlog::info!("run failed", kv: {
+            request = request.head.request_id.as_str(),
+            fingerprint = request.fingerprint().to_string().as_str(),
+            endpoint = endpoint.as_str(),
+            outcome:? = outcome,
+            reason = reason.code(),
+            events = request.trace.events.get(),
+            steward_losses = self.placement().steward_losses(),
+        });
+    }
+
     pub(crate) fn log_retry(&self, request: &RelayRequest, reason: RetryReason) {
         self.counters.retried(reason);
         spdlog::info!("request retried", kv: {
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -106,6 +106,9 @@
             Ok(answer) => return Ok(answer),
             Err(error) => error,
         };
+        if error.ran == MayHaveRun::Yes {
+            core.log_failed_run(request, &guard.target.endpoint, error.outcome, error.reason);
+        }
         guard.outcome.set(error.outcome);
         drop(guard);
         if error.ran == MayHaveRun::Yes {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -124,6 +124,8 @@
 /// A run whose stream has begun.
 struct StreamRun {
     guard: RunGuard,
+    /// Host of the run.
+    endpoint: EndpointId,
     stream: EventStream,
     /// Held so that the reservation is released when the run ends.
     _reservation: Option<MemoryReservation>,
@@ -287,7 +289,8 @@
         }
         self.runs += 1;
         if let Some(silent) = self.run.replace(run) {
-            silent.guard.report(RunReport::new(RunOutcome::Silent));
+            let error = RunError::new(RunOutcome::Silent, RetryReason::StreamSilent);
+            self.report_failure(&silent.guard, &silent.endpoint, &error);
         }
     }
 
@@ -295,7 +298,7 @@
     /// possible.
     async fn fail_over(&mut self, error: RunError) -> Option<UnfinishedReason> {
         if let Some(run) = self.run.take() {
-            run.guard.report(error.report.clone());
+            self.report_failure(&run.guard, &run.endpoint, &error);
         }
         if self.request.time_left(self.core.now()) < MIN_TIME_LEFT {
             return Some(UnfinishedReason::DeadlinePassed);
@@ -426,18 +429,29 @@
                 self.core.placement().first_event(guard.number);
                 let run = StreamRun {
                     guard,
+                    endpoint: grant.host.endpoint.clone(),
                     stream,
                     _reservation: reservation,
                 };
                 Ok((run, head))
             }
             Err(error) => {
-                guard.report(error.report.clone());
+                self.report_failure(&guard, &grant.host.endpoint, &error);
                 Err(error)
             }
         }
     }
 
+    /// Reports a run that failed to the dispatcher.
+    fn report_failure(&self, guard: &RunGuard, endpoint: &EndpointId, error: &RunError) {
+        guard.report(error.report.clone());
+        if error.may_have_run() {
+            let outcome = error.report.outcome;
+            self.core
+                .log_failed_run(&self.request, endpoint, outcome, error.reason);
+        }
+    }
+
     /// Logs a placement whose prefill is shared with helpers. Other placements appear only in the
     /// line that is logged at the end of the request.
     fn log_shared_placement(&self, grant: &PlacementGrant) {
