Quarantine calls to plain services that crash their endpoints

Callers saw: a call under which three endpoints had ended was sent on for as long as its caller came back. Cause: only the dispatcher of engine pools records crashes, and calls to plain services ask no dispatcher. Class: a guard that one of several paths has. Ruled out: asking the steward for each call, which costs a round trip and leaves an instance in a cut without an answer. Change: each instance records crashes in a registry of its own and asks it before each send of a call, repeatable or not; three crashes quarantine the request, a complete answer clears its record. Before: crashing_call_reaches_no_more_endpoints failed with 11 (repeatable) and 9 (once) retries, allowed 3.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -10,7 +10,8 @@
 use policy::catalog::ServiceCatalog;
 use policy::dispatch::placement::{EndpointTarget, RunOutcome};
 use policy::ids::{DomainId, EndpointId, Millis, PoolId};
-use policy::outcome::RetryReason;
+use policy::outcome::{Refusal, RefusalReason, RetryReason};
+use policy::poison::{CrashReport, PoisonStatus};
 use policy::retry::{BudgetLimits, BudgetTable, RetryDecision};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -18,6 +19,7 @@
 use crate::clock::BootClock;
 use crate::connections::EndpointConnections;
 use crate::counters::RelayCounters;
+use crate::crash_registry::CrashRegistry;
 use crate::dialect::WireDialect;
 use crate::endpoint_view::{EndpointView, ViewChange};
 use crate::placement::{DispatcherDriver, PlacementClient};
@@ -64,8 +66,11 @@
     pub placement: Rc<dyn PlacementClient>,
     /// Reserves and releases memory on engines.
     pub memory: Rc<dyn MemoryClient>,
-    /// Prefix of the reservation ids of this incarnation.
-    pub reservation_prefix: String,
+    /// Name of this incarnation of the instance, unique in the fleet; reservation ids and the names
+    /// of runs begin with it.
+    pub incarnation_name: String,
+    /// Crashes of endpoints by the request that they ran.
+    pub crashes: RefCell<CrashRegistry>,
     /// Time to live of a memory reservation, in milliseconds.
     pub reservation_ttl: Millis,
 }
@@ -270,7 +275,7 @@
     }
 
     pub(crate) fn reservation_id(&self, request_number: u64) -> String {
-        format!("{}-{request_number}", self.dependencies.reservation_prefix)
+        format!("{}-{request_number}", self.dependencies.incarnation_name)
     }
 
     pub(crate) fn next_request_number(&self) -> u64 {
@@ -309,26 +314,83 @@
         self.retries.borrow_mut().budget(service).retry() == RetryDecision::Allowed
     }
 
-    /// Logs a run that ended without a whole answer after it was sent. The fingerprint connects the
-    /// runs of one request across attempts and instances.
-    pub(crate) fn log_failed_run(
+    /// Refuses a run that is about to be sent if its request has crashed too many endpoints. A run
+    /// on probation counts as sent.
+    pub(crate) fn admit_run(&self, request: &RelayRequest) -> Result<(), Refusal> {
+        let now = self.now();
+        let fingerprint = request.fingerprint();
+        let may_try = true;
+        let mut crashes = self.dependencies.crashes.borrow_mut();
+        if crashes.admit(fingerprint, may_try, now) == PoisonStatus::Quarantined {
+            return Err(self.quarantine_refusal(&crashes, request, now));
+        }
+        Ok(())
+    }
+
+    fn quarantine_refusal(
+        &self,
+        crashes: &CrashRegistry,
+        request: &RelayRequest,
+        now: Millis,
+    ) -> Refusal {
+        let (count, age) = crashes.crashes(request.fingerprint(), now);
+        spdlog::info!("run refused by quarantine", kv: {
+            request = request.head.request_id.as_str(),
+            fingerprint = request.fingerprint().to_string().as_str(),
+            crashes = count,
+            age = age,
+        });
+        Refusal::new(RefusalReason::Quarantined, request.time_left(now))
+    }
+
+    /// Records a run that was sent and ended without a whole answer. The logged fingerprint connects
+    /// the runs of one request across attempts and instances.
+    pub(crate) fn run_failed(
         &self,
         request: &RelayRequest,
         endpoint: &EndpointId,
         outcome: RunOutcome,
         reason: RetryReason,
     ) {
+        let fingerprint = request.fingerprint();
+        let now = self.now();
+        let mut crashes = self.dependencies.crashes.borrow_mut();
+        if outcome == RunOutcome::Broken && reason == RetryReason::StreamClosed {
+            let endpoint = endpoint.clone();
+            let report = CrashReport {
+                fingerprint,
+                endpoint,
+            };
+            crashes.run_broke(report, now);
+        }
         spdlog::info!("run failed", kv: {
             request = request.head.request_id.as_str(),
-            fingerprint = request.fingerprint().to_string().as_str(),
+            fingerprint = fingerprint.to_string().as_str(),
             endpoint = endpoint.as_str(),
             outcome:? = outcome,
             reason = reason.code(),
             events = request.trace.events.get(),
+            crashes = crashes.crashes(fingerprint, now).0,
             steward_losses = self.placement().steward_losses(),
         });
     }
 
+    /// Records that an endpoint has answered a request completely.
+    pub(crate) fn run_served(&self, request: &RelayRequest) {
+        let fingerprint = request.fingerprint();
+        if self
+            .dependencies
+            .crashes
+            .borrow_mut()
+            .run_served(fingerprint)
+        {
+            spdlog::info!("crash records cleared", kv: {
+                request = request.head.request_id.as_str(),
+                fingerprint = fingerprint.to_string().as_str(),
+            });
+        }
+    }
+
     pub(crate) fn log_retry(&self, request: &RelayRequest, reason: RetryReason) {
         self.counters.retried(reason);
         spdlog::info!("request retried", kv: {
--- /dev/null
+++ b/crates/relay/src/crash_registry.rs
@@ -0,0 +1,168 @@
+//! What this instance knows of endpoints that crashed under a request, from its own runs and from
+//! the other instances, and the reports that the others have yet to learn.
+
+use std::collections::VecDeque;
+
+use policy::ids::{EndpointId, Millis};
+use policy::poison::{CrashReport, Fingerprint, PoisonStatus, PoisonTable, RunCrash};
+
+/// Largest number of reports that wait to be shared; beyond it the oldest one is dropped.
+const MAX_UNSHARED: usize = 2_000;
+
+/// Largest number of silent runs that are remembered.
+const MAX_SILENT_RUNS: usize = 2_000;
+
+/// Time after which a silent run is no longer attributed to the loss of its endpoint, in
+/// milliseconds: an endpoint's entry expires within a few heartbeats, later if the store is
+/// unavailable.
+const SILENT_RUN_RETENTION: Millis = 30_000;
+
+/// What an instance reports to the others.
+#[derives::value]
+pub enum CrashNotice {
+    /// An endpoint crashed under a run.
+    Crashed(RunCrash),
+    /// An endpoint has served the request.
+    Served(Fingerprint),
+}
+
+/// A run that ended without any sign of its endpoint.
+#[derive(Debug)]
+struct SilentRun {
+    crash: RunCrash,
+    at: Millis,
+}
+
+/// Crashes by request, and notices that are yet to be shared.
+#[derive(Debug)]
+pub struct CrashRegistry {
+    table: PoisonTable,
+    silent_runs: VecDeque<SilentRun>,
+    unshared: VecDeque<CrashNotice>,
+    /// Name of this incarnation of the instance; the names of its runs begin with it.
+    instance: String,
+    last_run: u64,
+}
+
+impl CrashRegistry {
+    /// Creates an empty registry. `table` decides on quarantines; `instance` is unique to this
+    /// incarnation of the instance.
+    #[must_use]
+    pub fn new(table: PoisonTable, instance: &str) -> Self {
+        Self {
+            table,
+            silent_runs: VecDeque::new(),
+            unshared: VecDeque::new(),
+            instance: instance.to_owned(),
+            last_run: 0,
+        }
+    }
+
+    /// Status of a request for a run that is about to be sent; see [`PoisonTable::admit`].
+    pub fn admit(&mut self, fingerprint: Fingerprint, may_try: bool, now: Millis) -> PoisonStatus {
+        self.table.admit(fingerprint, may_try, now)
+    }
+
+    /// Whether a request is quarantined and no run on probation is due.
+    #[must_use]
+    pub fn is_quarantined(&self, fingerprint: Fingerprint, now: Millis) -> bool {
+        self.table.status(fingerprint, now) == PoisonStatus::Quarantined
+    }
+
+    /// Number of crashes known for a request, and time since the last one in milliseconds.
+    #[must_use]
+    pub fn crashes(&self, fingerprint: Fingerprint, now: Millis) -> (usize, Millis) {
+        let age = self.table.age(fingerprint, now);
+        (self.table.crashes(fingerprint), age)
+    }
+
+    /// Records that an endpoint closed the connection of a run before the answer was complete.
+    pub fn run_broke(&mut self, report: CrashReport, now: Millis) {
+        let crash = self.name_run(report);
+        self.record_own(crash, now);
+    }
+
+    /// Records that a run ended without any sign of its endpoint, which counts as a crash once the
+    /// endpoint is known to be lost.
+    pub fn run_fell_silent(&mut self, report: CrashReport, now: Millis) {
+        let crash = self.name_run(report);
+        if self.silent_runs.len() >= MAX_SILENT_RUNS {
+            self.silent_runs.pop_front();
+        }
+        self.silent_runs.push_back(SilentRun { crash, at: now });
+    }
+
+    /// Records the crashes of silent runs on endpoints for which `is_lost` holds. Returns them.
+    pub fn endpoints_lost(
+        &mut self,
+        is_lost: impl Fn(&EndpointId) -> bool,
+        now: Millis,
+    ) -> Vec<RunCrash> {
+        let is_recent = |run: &SilentRun| now.saturating_sub(run.at) < SILENT_RUN_RETENTION;
+        self.silent_runs.retain(is_recent);
+        let (lost, left) = std::mem::take(&mut self.silent_runs)
+            .into_iter()
+            .partition::<VecDeque<_>, _>(|run| is_lost(&run.crash.report.endpoint));
+        self.silent_runs = left;
+        let crashes: Vec<RunCrash> = lost.into_iter().map(|run| run.crash).collect();
+        for crash in &crashes {
+            self.record_own(crash.clone(), now);
+        }
+        crashes
+    }
+
+    /// Records that an endpoint has answered a request completely. Returns whether crashes were
+    /// attributed to the request before.
+    pub fn run_served(&mut self, fingerprint: Fingerprint) -> bool {
+        let is_new = self.clear(fingerprint);
+        if is_new {
+            self.share(CrashNotice::Served(fingerprint));
+        }
+        is_new
+    }
+
+    /// Applies a notice of another instance, or of this one. Returns whether it was new.
+    pub fn apply(&mut self, notice: &CrashNotice, now: Millis) -> bool {
+        match notice {
+            CrashNotice::Crashed(crash) => {
+                let fingerprint = crash.report.fingerprint;
+                let known = self.table.crashes(fingerprint);
+                self.table.record_run(crash, now);
+                self.table.crashes(fingerprint) > known
+            }
+            CrashNotice::Served(fingerprint) => self.clear(*fingerprint),
+        }
+    }
+
+    /// Takes up to `count` notices that have not been shared, the oldest first.
+    pub fn take_unshared(&mut self, count: usize) -> Vec<CrashNotice> {
+        let count = count.min(self.unshared.len());
+        self.unshared.drain(..count).collect()
+    }
+
+    fn clear(&mut self, fingerprint: Fingerprint) -> bool {
+        self.silent_runs
+            .retain(|run| run.crash.report.fingerprint != fingerprint);
+        self.table.clear(fingerprint)
+    }
+
+    fn name_run(&mut self, report: CrashReport) -> RunCrash {
+        self.last_run += 1;
+        RunCrash {
+            report,
+            run: format!("{}/{}", self.instance, self.last_run),
+        }
+    }
+
+    fn record_own(&mut self, crash: RunCrash, now: Millis) {
+        self.table.record_run(&crash, now);
+        self.share(CrashNotice::Crashed(crash));
+    }
+
+    fn share(&mut self, notice: CrashNotice) {
+        if self.unshared.len() >= MAX_UNSHARED {
+            self.unshared.pop_front();
+        }
+        self.unshared.push_back(notice);
+    }
+}
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -1,6 +1,6 @@
 //! Request handling: admission, serving, and the log line at the end.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
@@ -147,6 +147,7 @@
             arrived,
             ends_at,
             trace: RequestTrace::default(),
+            fingerprint: OnceCell::new(),
         })
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod connections;
 mod core;
 mod counters;
+mod crash_registry;
 mod dialect;
 mod endpoint_view;
 mod events;
@@ -28,6 +29,7 @@
 pub use crate::connections::EndpointConnections;
 pub use crate::core::{RelayCore, RelayDependencies, RelayPhase};
 pub use crate::counters::RelayCounters;
+pub use crate::crash_registry::{CrashNotice, CrashRegistry};
 pub use crate::dialect::{
     AnswerHead, AnswerSignature, CallerHead, ForwardHead, ForwardHelper, PromptSize, RunStatement,
     WireDialect,
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -8,7 +8,7 @@
 use policy::catalog::RepeatRule;
 use policy::dispatch::placement::{EndpointTarget, RunOutcome};
 use policy::ids::Millis;
-use policy::outcome::{RefusalReason, RetryReason, UnfinishedReason};
+use policy::outcome::{Refusal, RefusalReason, RetryReason, UnfinishedReason};
 use transport::ExchangeError;
 
 use crate::answer::{RelayFailure, WholeAnswer, strip_connection_headers};
@@ -92,6 +92,8 @@
         if request.time_left(core.now()) < MIN_TIME_LEFT {
             return Err(deadline_failure(ran));
         }
+        core.admit_run(request)
+            .map_err(|refusal| quarantine_failure(refusal, ran))?;
         let Some(target) = core.start_call(&request.service, &excluded) else {
             return Err(no_endpoint_failure(ran));
         };
@@ -103,11 +105,14 @@
             outcome: Cell::new(RunOutcome::CallerLeft),
         };
         let error = match try_call(core, request, &guard).await {
-            Ok(answer) => return Ok(answer),
+            Ok(answer) => {
+                core.run_served(request);
+                return Ok(answer);
+            }
             Err(error) => error,
         };
         if error.ran == MayHaveRun::Yes {
-            core.log_failed_run(request, &guard.target.endpoint, error.outcome, error.reason);
+            core.run_failed(request, &guard.target.endpoint, error.outcome, error.reason);
         }
         guard.outcome.set(error.outcome);
         drop(guard);
@@ -172,6 +177,13 @@
     }
 }
 
+fn quarantine_failure(refusal: Refusal, ran: MayHaveRun) -> RelayFailure {
+    match ran {
+        MayHaveRun::No => RelayFailure::NotRun(refusal),
+        MayHaveRun::Yes => RelayFailure::Unfinished(UnfinishedReason::Quarantined),
+    }
+}
+
 fn no_endpoint_failure(ran: MayHaveRun) -> RelayFailure {
     match ran {
         MayHaveRun::No => RelayFailure::not_run(RefusalReason::NoEndpoint, NO_ENDPOINT_RETRY_AFTER),
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -1,6 +1,6 @@
 //! State of a request while it is served.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -37,6 +37,8 @@
     pub ends_at: Millis,
     /// Data for the log line at the end of the request.
     pub trace: RequestTrace,
+    /// Result of [`Self::fingerprint`], once computed.
+    pub(crate) fingerprint: OnceCell<Fingerprint>,
 }
 
 impl RelayRequest {
@@ -49,13 +51,15 @@
     /// Hash of path, query, account and body; the same for every attempt.
     #[must_use]
     pub fn fingerprint(&self) -> Fingerprint {
-        let mut hash = Xxh3::new();
-        hash.update(self.path_and_query.as_bytes());
-        if let Some(account) = &self.admitted.account {
-            hash.update(account.as_str().as_bytes());
-        }
-        hash.update(&self.body);
-        Fingerprint(hash.digest())
+        *self.fingerprint.get_or_init(|| {
+            let mut hash = Xxh3::new();
+            hash.update(self.path_and_query.as_bytes());
+            if let Some(account) = &self.admitted.account {
+                hash.update(account.as_str().as_bytes());
+            }
+            hash.update(&self.body);
+            Fingerprint(hash.digest())
+        })
     }
 
     /// Headers for an endpoint, with the metadata in `head`.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -448,7 +448,7 @@
         if error.may_have_run() {
             let outcome = error.report.outcome;
             self.core
-                .log_failed_run(&self.request, endpoint, outcome, error.reason);
+                .run_failed(&self.request, endpoint, outcome, error.reason);
         }
     }
 
