Quarantine prompts whichever of their events an engine crashed at

Callers saw: a stream under which engines ended after its first event was resumed on further engines for as long as its caller came back. Cause: the dispatcher counts a broken run as a crash only before its first event, but a request begins to run with its first token. Class: the wrong evidence. Ruled out: counting in the dispatcher alone, which does not learn of runs that end while it is lost. A complete stream clears the record.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -314,6 +314,16 @@
         self.retries.borrow_mut().budget(service).retry() == RetryDecision::Allowed
     }
 
+    /// Refuses a request that has crashed too many endpoints.
+    pub(crate) fn check_quarantine(&self, request: &RelayRequest) -> Result<(), Refusal> {
+        let now = self.now();
+        let crashes = self.dependencies.crashes.borrow();
+        if crashes.is_quarantined(request.fingerprint(), now) {
+            return Err(self.quarantine_refusal(&crashes, request, now));
+        }
+        Ok(())
+    }
+
     /// Refuses a run that is about to be sent if its request has crashed too many endpoints. A run
     /// on probation counts as sent.
     pub(crate) fn admit_run(&self, request: &RelayRequest) -> Result<(), Refusal> {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -13,7 +13,7 @@
     PlacementDecision, PlacementGrant, PlacementRequest, RunOutcome, RunReport,
 };
 use policy::ids::{AccountId, EndpointId, Millis};
-use policy::outcome::{RefusalReason, RetryReason, UnfinishedReason};
+use policy::outcome::{Refusal, RefusalReason, RetryReason, UnfinishedReason};
 
 use crate::answer::{RelayFailure, WholeAnswer, strip_connection_headers};
 use crate::connections::{AnswerBody, BodyChunk, EndpointAnswer, ForwardRequest, exchange_outcome};
@@ -247,6 +247,7 @@
             }
             if run.stream.is_ended {
                 run.guard.report(RunReport::new(RunOutcome::Served));
+                self.core.run_served(&self.request);
                 self.run = None;
                 return StreamStep::Whole;
             }
@@ -345,6 +346,9 @@
         if left < MIN_TIME_LEFT {
             return Err(self.deadline_failure());
         }
+        self.core
+            .check_quarantine(&self.request)
+            .map_err(|refusal| self.quarantine_failure(refusal))?;
         let guard = RunGuard::new(&self.core);
         let placement_request = self.placement_request(now, left);
         let requested = self
@@ -357,14 +361,32 @@
         trace.queued.set(trace.queued.get() + waited);
         match decision {
             Err(_) => Err(self.deadline_failure()),
+            Ok(PlacementDecision::Granted(grant)) => {
+                // Crashes may have become known while the request was queued.
+                self.core
+                    .admit_run(&self.request)
+                    .map_err(|refusal| self.quarantine_failure(refusal))?;
+                Ok((guard, grant))
+            }
+            Ok(PlacementDecision::Refused(refusal))
+                if refusal.reason == RefusalReason::Quarantined =>
+            {
+                Err(self.quarantine_failure(refusal))
+            }
             Ok(PlacementDecision::Refused(_)) if self.runs > 0 => {
                 Err(RelayFailure::Unfinished(UnfinishedReason::EndpointLost))
             }
             Ok(PlacementDecision::Refused(refusal)) => Err(RelayFailure::NotRun(refusal)),
-            Ok(PlacementDecision::Granted(grant)) => Ok((guard, grant)),
         }
     }
 
+    fn quarantine_failure(&self, refusal: Refusal) -> RelayFailure {
+        if self.runs > 0 {
+            return RelayFailure::Unfinished(UnfinishedReason::Quarantined);
+        }
+        RelayFailure::NotRun(refusal)
+    }
+
     fn deadline_failure(&self) -> RelayFailure {
         if self.runs > 0 {
             return RelayFailure::Unfinished(UnfinishedReason::DeadlinePassed);
