Count a silent run as a crash once its endpoint is known to be lost

Callers saw: streams under which engines vanished without closing their connections were sent on for as long as their callers came back. Cause: silence alone is no sign of a crash, and nothing looked at what became of the endpoint. Class: the wrong evidence. Ruled out: counting each silence, which would quarantine requests on endpoints that are merely slow or cut off. A run whose caller gives up after a second of silence is silent too.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -37,6 +37,10 @@
     saved_retries: 2,
 };
 
+/// Silence of an endpoint after which a run that its caller abandons counts as silent, in
+/// milliseconds.
+const ABANDONED_SILENCE: Millis = 1_000;
+
 /// Lifecycle phase of the instance.
 #[derives::tag]
 pub enum RelayPhase {
@@ -216,6 +220,22 @@
         let changed = change(&mut self.endpoint_view.borrow_mut(), now);
         if changed == ViewChange::Changed {
             self.distribute_endpoints();
+            self.attribute_losses(now);
+        }
+    }
+
+    /// Attributes the loss of endpoints to the runs that fell silent on them.
+    fn attribute_losses(&self, now: Millis) {
+        let endpoint_view = self.endpoint_view.borrow();
+        let mut crashes = self.dependencies.crashes.borrow_mut();
+        let attributed = crashes.endpoints_lost(|endpoint| endpoint_view.is_lost(endpoint), now);
+        for crash in &attributed {
+            let fingerprint = crash.report.fingerprint;
+            spdlog::info!("endpoint lost under a run", kv: {
+                fingerprint = fingerprint.to_string().as_str(),
+                endpoint = crash.report.endpoint.as_str(),
+                crashes = crashes.crashes(fingerprint, now).0,
+            });
         }
     }
 
@@ -365,13 +385,18 @@
         let fingerprint = request.fingerprint();
         let now = self.now();
         let mut crashes = self.dependencies.crashes.borrow_mut();
-        if outcome == RunOutcome::Broken && reason == RetryReason::StreamClosed {
-            let endpoint = endpoint.clone();
-            let report = CrashReport {
-                fingerprint,
-                endpoint,
-            };
-            crashes.run_broke(report, now);
+        let report = CrashReport {
+            fingerprint,
+            endpoint: endpoint.clone(),
+        };
+        let is_lost = self.endpoint_view.borrow().is_lost(endpoint);
+        match outcome {
+            RunOutcome::Broken if reason == RetryReason::StreamClosed => {
+                crashes.run_broke(report, now);
+            }
+            RunOutcome::Silent if is_lost => crashes.run_broke(report, now),
+            RunOutcome::Silent => crashes.run_fell_silent(report, now),
+            _ => {}
         }
         spdlog::info!("run failed", kv: {
             request = request.head.request_id.as_str(),
@@ -385,6 +410,25 @@
         });
     }
 
+    /// Records that a caller disconnected during a run whose endpoint was last heard of at
+    /// `heard_at`. A caller that gives up on a silent run has waited at least
+    /// [`ABANDONED_SILENCE`].
+    pub(crate) fn run_abandoned(
+        &self,
+        request: &RelayRequest,
+        endpoint: &EndpointId,
+        heard_at: Millis,
+    ) {
+        if self.now().saturating_sub(heard_at) >= ABANDONED_SILENCE {
+            self.run_failed(
+                request,
+                endpoint,
+                RunOutcome::Silent,
+                RetryReason::StreamSilent,
+            );
+        }
+    }
+
     /// Records that an endpoint has answered a request completely.
     pub(crate) fn run_served(&self, request: &RelayRequest) {
         let fingerprint = request.fingerprint();
--- a/crates/relay/src/endpoint_view.rs
+++ b/crates/relay/src/endpoint_view.rs
@@ -22,6 +22,14 @@
     missing_until: Option<Millis>,
 }
 
+/// Removal of an endpoint.
+#[derive(Debug, Clone, Copy)]
+struct Departure {
+    at: Millis,
+    /// Whether the endpoint was seen leaving before.
+    is_announced: bool,
+}
+
 /// The endpoints of all pools, as listed in the platform's store.
 ///
 /// Invariant: an endpoint whose entry is missing is used for at most two seconds after the list is
@@ -29,8 +37,8 @@
 #[derive(Debug, Default)]
 pub struct EndpointView {
     endpoints: BTreeMap<EndpointId, KnownEndpoint>,
-    /// Removed endpoints, and when each was removed.
-    departed: BTreeMap<EndpointId, Millis>,
+    /// Removed endpoints.
+    departed: BTreeMap<EndpointId, Departure>,
     /// When the store last recovered from an outage.
     store_recovered_at: Option<Millis>,
     is_store_lost: bool,
@@ -92,7 +100,11 @@
             return ViewChange::Same;
         }
         self.endpoints.remove(endpoint);
-        self.departed.insert(endpoint.clone(), now);
+        let departure = Departure {
+            at: now,
+            is_announced: is_leaving,
+        };
+        self.departed.insert(endpoint.clone(), departure);
         ViewChange::Changed
     }
 
@@ -127,14 +139,19 @@
     /// Removes endpoints whose entries have not come back in time.
     pub fn expire(&mut self, now: Millis) -> ViewChange {
         self.departed
-            .retain(|_, removed_at| now.saturating_sub(*removed_at) < DEPARTED_RETENTION);
+            .retain(|_, departure| now.saturating_sub(departure.at) < DEPARTED_RETENTION);
         let before = self.endpoints.len();
         let is_kept = |entry: &KnownEndpoint| entry.missing_until.is_none_or(|until| now < until);
         let missing = self.endpoints.iter().filter(|(_, entry)| !is_kept(entry));
         let missing: Vec<EndpointId> = missing.map(|(id, _)| id.clone()).collect();
         for endpoint in missing {
-            self.endpoints.remove(&endpoint);
-            self.departed.insert(endpoint, now);
+            let entry = self.endpoints.remove(&endpoint);
+            let state = entry.map(|entry| entry.info.state);
+            let departure = Departure {
+                at: now,
+                is_announced: state == Some(EndpointState::Leaving),
+            };
+            self.departed.insert(endpoint, departure);
         }
         if self.endpoints.len() == before {
             ViewChange::Same
@@ -151,6 +168,13 @@
         is_leaving || self.departed.contains_key(endpoint)
     }
 
+    /// Whether an endpoint was removed recently without having been seen leaving.
+    #[must_use]
+    pub fn is_lost(&self, endpoint: &EndpointId) -> bool {
+        let departure = self.departed.get(endpoint);
+        departure.is_some_and(|departure| !departure.is_announced)
+    }
+
     /// The endpoints of one pool.
     #[must_use]
     pub fn in_pool(&self, pool: &PoolId) -> Vec<EndpointInfo> {
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -65,12 +65,17 @@
     core: Rc<RelayCore>,
     request: Rc<RelayRequest>,
     target: EndpointTarget,
+    sent_at: Millis,
     outcome: Cell<RunOutcome>,
 }
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
         let service = &self.request.service;
+        if self.outcome.get() == RunOutcome::CallerLeft {
+            self.core
+                .run_abandoned(&self.request, &self.target.endpoint, self.sent_at);
+        }
         self.core
             .end_call(service, &self.target.endpoint, self.outcome.get());
     }
@@ -102,6 +107,7 @@
             core: Rc::clone(core),
             request: Rc::clone(request),
             target,
+            sent_at: core.now(),
             outcome: Cell::new(RunOutcome::CallerLeft),
         };
         let error = match try_call(core, request, &guard).await {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -58,6 +58,15 @@
     core: Rc<RelayCore>,
     number: u64,
     report: RefCell<RunReport>,
+    sent_run: RefCell<Option<SentRun>>,
+}
+
+/// A run that was sent to its host.
+struct SentRun {
+    request: Rc<RelayRequest>,
+    endpoint: EndpointId,
+    /// When the run was sent or its last event arrived.
+    heard_at: Millis,
 }
 
 impl RunGuard {
@@ -66,6 +75,23 @@
             core: Rc::clone(core),
             number: core.next_request_number(),
             report: RefCell::new(RunReport::new(RunOutcome::CallerLeft)),
+            sent_run: RefCell::new(None),
+        }
+    }
+
+    /// Records that the run is sent to `endpoint`.
+    fn sent(&self, request: &Rc<RelayRequest>, endpoint: &EndpointId) {
+        *self.sent_run.borrow_mut() = Some(SentRun {
+            request: Rc::clone(request),
+            endpoint: endpoint.clone(),
+            heard_at: self.core.now(),
+        });
+    }
+
+    /// Records that an event of the run has arrived.
+    fn heard(&self) {
+        if let Some(sent_run) = self.sent_run.borrow_mut().as_mut() {
+            sent_run.heard_at = self.core.now();
         }
     }
 
@@ -77,6 +103,16 @@
 impl Drop for RunGuard {
     fn drop(&mut self) {
         let report = self.report.borrow().clone();
+        if let Some(sent_run) = self.sent_run.borrow().as_ref()
+            && report.outcome == RunOutcome::CallerLeft
+        {
+            let SentRun {
+                request,
+                endpoint,
+                heard_at,
+            } = sent_run;
+            self.core.run_abandoned(request, endpoint, *heard_at);
+        }
         self.core.placement().finish(self.number, report);
     }
 }
@@ -253,7 +289,10 @@
             }
             let read = run.stream.read(&mut self.last_event);
             let error = match tokio::time::timeout(timeout, read).await {
-                Ok(Ok(())) => continue,
+                Ok(Ok(())) => {
+                    run.guard.heard();
+                    continue;
+                }
                 Ok(Err(error)) => error,
                 Err(_) if self.request.time_left(self.core.now()) >= MIN_TIME_LEFT => {
                     self.replace_silent_run().await;
@@ -440,6 +479,7 @@
                 return Err(error);
             }
         };
+        guard.sent(&request, &grant.host.endpoint);
         let opened =
             tokio::time::timeout(timeout, self.open_stream(grant, reservation.as_ref())).await;
         let opened = opened.unwrap_or_else(|_| {
@@ -449,6 +489,7 @@
         match opened {
             Ok((stream, head)) => {
                 self.core.placement().first_event(guard.number);
+                guard.heard();
                 let run = StreamRun {
                     guard,
                     endpoint: grant.host.endpoint.clone(),
