Share crashes under requests among all instances through the store

Callers saw: after a change of the steward or a restart of instances, a request that had crashed three endpoints crashed three more under each of them. Cause: what crashed was known to one dispatcher, or one instance, and went with it. Class: knowledge that must outlive its holder kept in its holder. Ruled out: a broadcast among peers (misses restarts and instances that reach the store alone); handing it over when a session opens (misses plain calls and restarts). A complete answer clears the record everywhere. On probation one instance, by rendezvous hashing, sends one run.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -10,6 +10,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::ids::{DomainId, Incarnation, InstanceId};
 
 /// Members per failure domain that read the platform's store on behalf of the others.
@@ -121,6 +123,15 @@
         self.members.get(instance).map(|member| &member.domain)
     }
 
+    /// The member that acts alone on the matter with this hash; `None` if there are no members.
+    ///
+    /// Rendezvous hashing as in [`crate::steward`]: when a member goes, only its own matters move.
+    #[must_use]
+    pub fn owner_of(&self, hash: u64) -> Option<&InstanceId> {
+        let weight = |member: &&InstanceId| xxh3_64_with_seed(member.as_str().as_bytes(), hash);
+        self.members.keys().max_by_key(weight)
+    }
+
     /// The members of a failure domain that read the platform's store on behalf of the others, so
     /// that the store's load does not grow with the fleet. In a small domain every member reads.
     #[must_use]
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -15,11 +15,12 @@
 use policy::retry::{BudgetLimits, BudgetTable, RetryDecision};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use tokio::sync::Notify;
 
 use crate::clock::BootClock;
 use crate::connections::EndpointConnections;
 use crate::counters::RelayCounters;
-use crate::crash_registry::CrashRegistry;
+use crate::crash_registry::{CrashNotice, CrashRegistry};
 use crate::dialect::WireDialect;
 use crate::endpoint_view::{EndpointView, ViewChange};
 use crate::placement::{DispatcherDriver, PlacementClient};
@@ -91,6 +92,7 @@
     retries: RefCell<BudgetTable<PoolId>>,
     phase: Cell<RelayPhase>,
     last_request_number: Cell<u64>,
+    notices_added: Notify,
     random: RefCell<SmallRng>,
     counters: RelayCounters,
 }
@@ -108,6 +110,7 @@
             retries: RefCell::new(BudgetTable::new(CALL_RETRY_LIMITS)),
             phase: Cell::new(RelayPhase::Starting),
             last_request_number: Cell::new(0),
+            notices_added: Notify::new(),
             random: RefCell::new(SmallRng::from_os_rng()),
             counters: RelayCounters::new(),
         }
@@ -231,6 +234,7 @@
         let attributed = crashes.endpoints_lost(|endpoint| endpoint_view.is_lost(endpoint), now);
         for crash in &attributed {
             let fingerprint = crash.report.fingerprint;
+            self.notices_added.notify_one();
             spdlog::info!("endpoint lost under a run", kv: {
                 fingerprint = fingerprint.to_string().as_str(),
                 endpoint = crash.report.endpoint.as_str(),
@@ -349,7 +353,7 @@
     pub(crate) fn admit_run(&self, request: &RelayRequest) -> Result<(), Refusal> {
         let now = self.now();
         let fingerprint = request.fingerprint();
-        let may_try = true;
+        let may_try = self.placement().may_try(fingerprint);
         let mut crashes = self.dependencies.crashes.borrow_mut();
         if crashes.admit(fingerprint, may_try, now) == PoisonStatus::Quarantined {
             return Err(self.quarantine_refusal(&crashes, request, now));
@@ -357,6 +361,46 @@
         Ok(())
     }
 
+    /// Name of this incarnation of the instance, unique in the fleet.
+    #[must_use]
+    pub fn incarnation_name(&self) -> &str {
+        &self.dependencies.incarnation_name
+    }
+
+    /// Waits until there are crash notices to share.
+    pub async fn crash_notices_added(&self) {
+        self.notices_added.notified().await;
+    }
+
+    /// Takes up to `count` crash notices that other instances have yet to learn, the oldest first.
+    #[must_use]
+    pub fn take_crash_notices(&self, count: usize) -> Vec<CrashNotice> {
+        self.dependencies.crashes.borrow_mut().take_unshared(count)
+    }
+
+    /// Applies crash notices of the instance `writer`.
+    pub fn apply_crash_notices(&self, notices: &[CrashNotice], writer: &str) {
+        let now = self.now();
+        let mut crashes = self.dependencies.crashes.borrow_mut();
+        for notice in notices {
+            if !crashes.apply(notice, now) {
+                continue;
+            }
+            let (fingerprint, endpoint) = match notice {
+                CrashNotice::Crashed(crash) => {
+                    (crash.report.fingerprint, crash.report.endpoint.as_str())
+                }
+                CrashNotice::Served(fingerprint) => (*fingerprint, ""),
+            };
+            spdlog::info!("crash notice applied", kv: {
+                fingerprint = fingerprint.to_string().as_str(),
+                endpoint = endpoint,
+                writer = writer,
+                crashes = crashes.crashes(fingerprint, now).0,
+            });
+        }
+    }
+
     fn quarantine_refusal(
         &self,
         crashes: &CrashRegistry,
@@ -398,6 +442,7 @@
             RunOutcome::Silent => crashes.run_fell_silent(report, now),
             _ => {}
         }
+        self.notices_added.notify_one();
         spdlog::info!("run failed", kv: {
             request = request.head.request_id.as_str(),
             fingerprint = fingerprint.to_string().as_str(),
@@ -438,6 +483,7 @@
             .borrow_mut()
             .run_served(fingerprint)
         {
+            self.notices_added.notify_one();
             spdlog::info!("crash records cleared", kv: {
                 request = request.head.request_id.as_str(),
                 fingerprint = fingerprint.to_string().as_str(),
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -13,6 +13,7 @@
 use policy::dispatch::{DispatchLimits, Dispatcher};
 use policy::ids::PoolId;
 use policy::outcome::{Refusal, RefusalReason};
+use policy::poison::Fingerprint;
 use tokio::sync::{Notify, oneshot};
 
 use crate::clock::BootClock;
@@ -39,6 +40,9 @@
     /// for each request.
     fn finish(&self, number: u64, report: RunReport);
 
+    /// Whether this instance is the one that may send a run of a request on probation.
+    fn may_try(&self, fingerprint: Fingerprint) -> bool;
+
     /// How many times a steward was lost.
     fn steward_losses(&self) -> u64;
 }
@@ -202,6 +206,10 @@
             .finish(RunKey::new(LOCAL_OWNER, number), &report);
     }
 
+    fn may_try(&self, _fingerprint: Fingerprint) -> bool {
+        true
+    }
+
     fn steward_losses(&self) -> u64 {
         0
     }
--- a/crates/relay/src/placement_router.rs
+++ b/crates/relay/src/placement_router.rs
@@ -23,6 +23,7 @@
 };
 use policy::fleet::{FleetMember, FleetMembership};
 use policy::ids::{DomainId, InstanceId, Millis};
+use policy::poison::Fingerprint;
 use tokio::sync::Notify;
 
 use crate::clock::BootClock;
@@ -702,6 +703,12 @@
         }
     }
 
+    fn may_try(&self, fingerprint: Fingerprint) -> bool {
+        let membership = self.membership.borrow();
+        let owner = membership.owner_of(fingerprint.0);
+        owner.is_none_or(|owner| *owner == self.instance)
+    }
+
     fn steward_losses(&self) -> u64 {
         self.steward_losses.get()
     }
