Soak: calls that crash the endpoints that run them

Change: each seed draws a kind of call and the moment at which it crashes an endpoint (call, stream before and after its first event, silent stream). It is sent to the daemons in turn through the faults; at the end it must not be sent on more than three times. Crashed endpoints come back under new ids.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -343,7 +343,7 @@
         let now = self.now();
         let crashes = self.dependencies.crashes.borrow();
         if crashes.is_quarantined(request.fingerprint(), now) {
-            return Err(self.quarantine_refusal(&crashes, request, now));
+            return Err(Self::quarantine_refusal(&crashes, request, now));
         }
         Ok(())
     }
@@ -356,7 +356,7 @@
         let may_try = self.placement().may_try(fingerprint);
         let mut crashes = self.dependencies.crashes.borrow_mut();
         if crashes.admit(fingerprint, may_try, now) == PoisonStatus::Quarantined {
-            return Err(self.quarantine_refusal(&crashes, request, now));
+            return Err(Self::quarantine_refusal(&crashes, request, now));
         }
         Ok(())
     }
@@ -402,7 +402,6 @@
     }
 
     fn quarantine_refusal(
-        &self,
         crashes: &CrashRegistry,
         request: &RelayRequest,
         now: Millis,
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -27,17 +27,35 @@
     Order,
     /// An idempotent call.
     Status,
+    /// A resumable stream that crashes the endpoints that begin to run it.
+    CrashingStream,
+    /// An idempotent call that crashes the endpoints that begin to run it.
+    CrashingCall,
 }
 
+/// Body of the calls that crash endpoints.
+pub const CRASHING_BODY: &[u8] = b"crash";
+
 impl CallKind {
-    /// Every kind of request.
+    /// Every kind of request that endpoints can serve.
     pub const ALL: [Self; 3] = [Self::Question, Self::Order, Self::Status];
 
     fn path(self) -> &'static str {
         match self {
-            Self::Question => "/question/1",
+            Self::Question | Self::CrashingStream => "/question/1",
             Self::Order => "/order/1",
-            Self::Status => "/status/1",
+            Self::Status | Self::CrashingCall => "/status/1",
+        }
+    }
+
+    fn is_stream(self) -> bool {
+        matches!(self, Self::Question | Self::CrashingStream)
+    }
+
+    fn body(self) -> &'static [u8] {
+        match self {
+            Self::CrashingStream | Self::CrashingCall => CRASHING_BODY,
+            Self::Question | Self::Order | Self::Status => b"body",
         }
     }
 }
@@ -113,10 +131,10 @@
             .header("Request-Id", id)
             .header("Deadline-Ms", CALL_TIMEOUT.as_millis().to_string())
             .header("Authorization", format!("Token {key}"));
-        if kind == CallKind::Question {
+        if kind.is_stream() {
             request = request.header("Token-Count", "4000,200");
         }
-        let body = Bytes::from_static(b"body");
+        let body = Bytes::from_static(kind.body());
         let Ok(response) = self.client.send(request, body).await else {
             return CallOutcome::ConnectionLost;
         };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,13 +8,16 @@
 use std::time::{Duration, Instant};
 
 use adapter_standin::{
-    ConfigFixture, ResponsePlan, RouteFixture, RunRecord, ServiceFixture, StoreFault, StoreStandin,
-    WorkerFault, WorkerStandin,
+    ConfigFixture, CrashPlan, CrashPoint, ResponsePlan, RouteFixture, RunRecord, ServiceFixture,
+    StoreFault, StoreStandin, WorkerFault, WorkerStandin,
 };
 use futures::future::join_all;
 use ntex::http::StatusCode;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 
-use crate::caller::{CallKind, CallOutcome, CallRecord, SoakCaller};
+use crate::caller::{CRASHING_BODY, CallKind, CallOutcome, CallRecord, SoakCaller};
 use crate::check::{DRAIN_TIME, Violation, check_calls};
 use crate::daemon::{DaemonSignal, SoakDaemon};
 use crate::proxy::{FaultProxy, ProxyMode};
@@ -44,6 +47,21 @@
 /// Time after the last call within which all reserved memory must be released.
 const MEMORY_RELEASE_TIME: Duration = Duration::from_secs(4);
 
+/// Interval of the calls that crash endpoints, and time for which a crashed endpoint is missing.
+const CRASH_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Number of crashes after which a call must not be sent on.
+const CRASH_THRESHOLD: usize = 3;
+
+/// Time after the last of these crashes from which sends count.
+const CRASH_SETTLING_TIME: Duration = Duration::from_secs(3);
+
+/// Largest number of sends that count.
+const MAX_SENDS_AFTER_CRASHES: usize = 3;
+
+/// Number of crashing calls to each daemon in the final check.
+const FINAL_CRASHING_CALLS: usize = 3;
+
 /// Number of calls of each kind to each daemon in the final check.
 const FINAL_CALLS_PER_KIND: usize = 5;
 
@@ -70,6 +88,10 @@
     /// Engines, followed by the endpoints of the plain service.
     endpoints: Vec<WorkerStandin>,
     endpoint_paths: Vec<FaultProxy>,
+    /// Ids under which the endpoints are registered.
+    registered: RefCell<Vec<String>>,
+    /// Kind of the calls that crash endpoints.
+    crashing_kind: CallKind,
     size: SoakSize,
     /// Version of the newest configuration.
     version: Cell<u64>,
@@ -90,7 +112,7 @@
     program: &Path,
     folder: &Path,
 ) -> anyhow::Result<SoakReport> {
-    let environment = Rc::new(SoakEnvironment::new(size, program, folder).await?);
+    let environment = Rc::new(SoakEnvironment::new(seed, size, program, folder).await?);
     let schedule = draw_schedule(seed, size);
     for daemon in environment.daemons.borrow_mut().iter_mut() {
         daemon.start()?;
@@ -103,10 +125,17 @@
         ));
     }
     let callers = environment.start_callers().await;
+    let restarting = Rc::clone(&environment);
+    let restarting = tokio::task::spawn_local(async move { restarting.register_crashed().await });
+    let crashing = Rc::clone(&environment);
+    let crashing = tokio::task::spawn_local(async move { crashing.call_crashing().await });
     join_all(schedule.iter().map(|time| environment.inject(time))).await;
     tokio::time::sleep(RECOVERY_TIME).await;
     environment.is_finished.set(true);
     join_all(callers).await;
+    crashing.await?;
+    environment.check_crashing_calls(&mut violations).await;
+    restarting.abort();
     environment.check_after_recovery(&mut violations).await;
     let runs = environment.runs();
     let calls = environment.calls.borrow();
@@ -123,7 +152,12 @@
 }
 
 impl SoakEnvironment {
-    async fn new(size: &SoakSize, program: &Path, folder: &Path) -> anyhow::Result<Self> {
+    async fn new(
+        seed: u64,
+        size: &SoakSize,
+        program: &Path,
+        folder: &Path,
+    ) -> anyhow::Result<Self> {
         let any = std::net::SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 0);
         let store = StoreStandin::new(any);
         let plan = ResponsePlan {
@@ -131,10 +165,15 @@
             pause: EVENT_INTERVAL,
             is_close_delimited: false,
         };
+        let (crashing_kind, point) = draw_crash(seed);
         let mut endpoints = Vec::new();
         let mut endpoint_paths = Vec::new();
         for index in 0..size.engines + size.service_endpoints {
             let endpoint = WorkerStandin::new(&format!("endpoint-{index}"), any, plan.clone());
+            endpoint.set_crash_plan(CrashPlan {
+                body: CRASHING_BODY.to_vec(),
+                point,
+            });
             endpoint_paths.push(FaultProxy::new(Ipv4Addr::LOCALHOST, endpoint.address()).await?);
             endpoints.push(endpoint);
         }
@@ -157,8 +196,10 @@
             store,
             daemons: RefCell::new(daemons),
             store_paths,
-            endpoints,
+            registered: RefCell::new(vec![String::new(); endpoints.len()]),
             endpoint_paths,
+            endpoints,
+            crashing_kind,
             size: size.clone(),
             version: Cell::new(0),
             calls: RefCell::new(Vec::new()),
@@ -182,8 +223,84 @@
         let address = self.endpoint_paths[index].address();
         let endpoint = &self.endpoints[index];
         let entry = endpoint.entry_at(service, domain, state, address);
-        self.store
-            .put(&format!("servers/{}", endpoint.id()), &entry);
+        let id = endpoint.id();
+        self.store.put(&format!("servers/{id}"), &entry);
+        self.registered.borrow_mut()[index] = id;
+    }
+
+    /// Replaces the entries of endpoints that have crashed; each is missing for a while.
+    async fn register_crashed(&self) {
+        loop {
+            let is_crashed =
+                |index: &usize| self.registered.borrow()[*index] != self.endpoints[*index].id();
+            let crashed: Vec<usize> = (0..self.endpoints.len()).filter(is_crashed).collect();
+            for index in &crashed {
+                let former = self.registered.borrow()[*index].clone();
+                self.store.remove(&format!("servers/{former}"));
+            }
+            tokio::time::sleep(CRASH_INTERVAL).await;
+            for index in crashed {
+                self.register(index, "ready");
+            }
+        }
+    }
+
+    /// Sends calls that crash endpoints to the daemons in turn.
+    async fn call_crashing(&self) {
+        let addresses = self.caller_addresses();
+        for (daemon, address) in addresses.into_iter().enumerate().cycle() {
+            if self.is_finished.get() {
+                return;
+            }
+            let caller = SoakCaller::new(daemon, address).await;
+            self.call(&caller, self.crashing_kind, "key-0").await;
+            tokio::time::sleep(CRASH_INTERVAL).await;
+        }
+    }
+
+    fn caller_addresses(&self) -> Vec<std::net::SocketAddr> {
+        let daemons = self.daemons.borrow();
+        daemons.iter().map(SoakDaemon::callers).collect()
+    }
+
+    fn crashes(&self) -> usize {
+        self.endpoints.iter().map(WorkerStandin::crashes).sum()
+    }
+
+    /// Checks that a call that has crashed several endpoints is not sent on.
+    async fn check_crashing_calls(&self, violations: &mut Vec<Violation>) {
+        let addresses = self.caller_addresses();
+        let mut callers = Vec::new();
+        for (daemon, address) in addresses.into_iter().enumerate() {
+            callers.push(SoakCaller::new(daemon, address).await);
+        }
+        for caller in callers.iter().cycle().take(2 * CRASH_THRESHOLD) {
+            if self.crashes() >= CRASH_THRESHOLD {
+                break;
+            }
+            self.call(caller, self.crashing_kind, "key-0").await;
+            tokio::time::sleep(2 * CRASH_INTERVAL).await;
+        }
+        tokio::time::sleep(CRASH_SETTLING_TIME).await;
+        let before = self.crashes();
+        for caller in callers
+            .iter()
+            .cycle()
+            .take(callers.len() * FINAL_CRASHING_CALLS)
+        {
+            self.call(caller, self.crashing_kind, "key-0").await;
+        }
+        // The silent calls of this check are attributed, and their endpoints back, before others.
+        tokio::time::sleep(2 * CRASH_INTERVAL).await;
+        let sends = self.crashes() - before;
+        if before >= CRASH_THRESHOLD && sends > MAX_SENDS_AFTER_CRASHES {
+            let kind = self.crashing_kind;
+            let observed = format!("{kind:?}: sent {sends} times after {before} crashes");
+            violations.push(Violation::new(
+                "a call that has crashed three endpoints is not sent on",
+                observed,
+            ));
+        }
     }
 
     /// Publishes the next version of the configuration, whose newest API key is `key-VERSION`.
@@ -198,10 +315,7 @@
     }
 
     async fn start_callers(self: &Rc<Self>) -> Vec<tokio::task::JoinHandle<()>> {
-        let addresses: Vec<_> = {
-            let daemons = self.daemons.borrow();
-            daemons.iter().map(SoakDaemon::callers).collect()
-        };
+        let addresses = self.caller_addresses();
         let mut tasks = Vec::new();
         for (daemon, address) in addresses.into_iter().enumerate() {
             for first_kind in 0..CALLERS_PER_DAEMON {
@@ -299,10 +413,7 @@
     /// `time_limit`.
     async fn wait_until_serving(&self, time_limit: Duration) -> bool {
         let deadline = Instant::now() + time_limit;
-        let addresses: Vec<_> = {
-            let daemons = self.daemons.borrow();
-            daemons.iter().map(SoakDaemon::callers).collect()
-        };
+        let addresses = self.caller_addresses();
         for (daemon, address) in addresses.into_iter().enumerate() {
             let caller = SoakCaller::new(daemon, address).await;
             for kind in CallKind::ALL {
@@ -330,10 +441,7 @@
         tokio::time::sleep(CONFIG_APPLY_TIME.max(DRAIN_TIME)).await;
         let before = self.endpoints[draining_endpoint].runs().len();
         let key = format!("key-{}", self.version.get());
-        let addresses: Vec<_> = {
-            let daemons = self.daemons.borrow();
-            daemons.iter().map(SoakDaemon::callers).collect()
-        };
+        let addresses = self.caller_addresses();
         for (daemon, address) in addresses.into_iter().enumerate() {
             let caller = SoakCaller::new(daemon, address).await;
             for kind in CallKind::ALL {
@@ -371,6 +479,18 @@
     }
 }
 
+/// Draws what crashes endpoints, and when in their runs.
+fn draw_crash(seed: u64) -> (CallKind, CrashPoint) {
+    let kinds = [
+        (CallKind::CrashingCall, CrashPoint::BeforeAnswer),
+        (CallKind::CrashingStream, CrashPoint::BeforeAnswer),
+        (CallKind::CrashingStream, CrashPoint::AfterFirstEvent),
+        (CallKind::CrashingStream, CrashPoint::Silent),
+    ];
+    let mut random = SmallRng::seed_from_u64(seed);
+    kinds.choose(&mut random).copied().unwrap_or(kinds[0])
+}
+
 fn config(version: u64, keys: Vec<String>) -> ConfigFixture {
     let route = |name: &str, kind, service: &str, is_resumable| RouteFixture {
         name: name.to_owned(),
