Read and log the limits that endpoints name

Cause: the logs cannot tell whether an instance has heard of an endpoint's limit. Each instance keeps what it heard: the newest answer counts, and only an answer to a request that was sent after the limit was last heard of can end it. A change is logged. The table that will pace grants (policy, generic cell rate algorithm) comes with it; nothing asks it yet.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod poison;
 pub mod pool;
 pub mod prefix;
+pub mod rate_limit;
 pub mod retry;
 pub mod rollout;
 pub mod steward;
--- /dev/null
+++ b/crates/policy/src/rate_limit.rs
@@ -0,0 +1,210 @@
+//! Limits on the rate of requests that endpoints accept from all instances together.
+//!
+//! An endpoint in need names a limit in its answers, for as long as the limit holds. The dispatcher
+//! that decides for several instances counts what it grants; where several dispatchers decide at
+//! once, each uses its share of the limit. The pace is kept by the generic cell rate algorithm
+//! (ITU-T I.371) without a burst: grants are at least one interval apart.
+
+use std::collections::HashMap;
+
+use crate::cast::{f64_to_u64, u64_to_f64, usize_to_f64};
+use crate::ids::{EndpointId, Millis};
+
+/// Slowest pace that is kept, in requests a second. An endpoint that gets no requests at all could
+/// not say that its limit has ended.
+const MIN_RATE: f64 = 0.1;
+
+/// Time for which a limit holds after it was last heard, in milliseconds.
+const LIMIT_RETENTION: Millis = 600_000;
+
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
+const THOUSANDTHS: f64 = 1_000.0;
+
+/// A rate of requests, in thousandths of a request a second.
+#[derives::tag]
+pub struct RequestRate(u64);
+
+impl RequestRate {
+    /// A rate of `per_second` requests a second; `None` unless it is finite and not negative.
+    #[must_use]
+    pub fn new(per_second: f64) -> Option<Self> {
+        let is_valid = per_second.is_finite() && per_second >= 0.0;
+        is_valid.then(|| Self(f64_to_u64((per_second * THOUSANDTHS).round())))
+    }
+
+    /// Requests a second.
+    #[must_use]
+    pub fn per_second(self) -> f64 {
+        u64_to_f64(self.0) / THOUSANDTHS
+    }
+}
+
+/// What an instance heard of an endpoint's limit.
+#[derives::value]
+pub struct RateNotice {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its limit; `None` if the limit has ended.
+    pub rate: Option<RequestRate>,
+    /// Time since the endpoint said so, in milliseconds.
+    pub age: Millis,
+}
+
+/// Limit of one endpoint.
+#[derive(Debug, Clone)]
+struct EndpointLimit {
+    rate: Option<RequestRate>,
+    heard_at: Millis,
+    /// Earliest time of the next grant.
+    next_at: f64,
+}
+
+/// Limits of the endpoints that this dispatcher or instance has heard of, and the pace of its
+/// grants.
+///
+/// Invariant: grants for a limited endpoint are at least one interval of this dispatcher's share of
+/// the limit apart, and the first one comes an interval after the limit was heard of.
+#[derive(Debug)]
+pub struct RateTable {
+    limits: HashMap<EndpointId, EndpointLimit>,
+    /// Part of each limit that this dispatcher may use, above zero and at most one.
+    share: f64,
+}
+
+impl Default for RateTable {
+    fn default() -> Self {
+        Self {
+            limits: HashMap::new(),
+            share: 1.0,
+        }
+    }
+}
+
+impl RateTable {
+    /// Creates an empty table whose dispatcher may use whole limits.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the number of instances that this dispatcher decides for, of all instances.
+    pub fn set_share(&mut self, decided_for: usize, instances: usize) {
+        let share = usize_to_f64(decided_for.max(1)) / usize_to_f64(instances.max(1));
+        self.share = share.min(1.0);
+    }
+
+    /// Applies a notice, unless a newer one is known. Returns whether the limit changed.
+    pub fn apply(&mut self, notice: &RateNotice, now: Millis) -> bool {
+        let heard_at = now.saturating_sub(notice.age);
+        self.limits
+            .retain(|_, limit| now.saturating_sub(limit.heard_at) < LIMIT_RETENTION);
+        let Some(limit) = self.limits.get_mut(&notice.endpoint) else {
+            let Some(rate) = notice.rate else {
+                return false;
+            };
+            let limit = EndpointLimit {
+                rate: Some(rate),
+                heard_at,
+                next_at: u64_to_f64(now) + interval_ms(rate, self.share),
+            };
+            self.limits.insert(notice.endpoint.clone(), limit);
+            return true;
+        };
+        if heard_at < limit.heard_at {
+            return false;
+        }
+        limit.heard_at = heard_at;
+        if limit.rate == notice.rate {
+            return false;
+        }
+        if let Some(rate) = notice.rate {
+            // A slower pace holds from now on; a faster one does not make up for the past.
+            let earliest = u64_to_f64(now) + interval_ms(rate, self.share);
+            limit.next_at = match limit.rate {
+                Some(former) if former > rate => limit.next_at.max(earliest),
+                Some(_) => limit.next_at.min(earliest),
+                None => earliest,
+            };
+        }
+        limit.rate = notice.rate;
+        true
+    }
+
+    /// The limit of an endpoint; `None` if it has none.
+    #[must_use]
+    pub fn rate(&self, endpoint: &EndpointId) -> Option<RequestRate> {
+        self.limits.get(endpoint)?.rate
+    }
+
+    /// When the limit of an endpoint was last heard of; `None` if it has none.
+    #[must_use]
+    pub fn heard_at(&self, endpoint: &EndpointId) -> Option<Millis> {
+        let limit = self.limits.get(endpoint)?;
+        limit.rate.map(|_| limit.heard_at)
+    }
+
+    /// Time until the endpoint may get a request, in milliseconds; zero if it may get one now.
+    #[must_use]
+    pub fn wait_ms(&self, endpoint: &EndpointId, now: Millis) -> Millis {
+        let limit = self.limits.get(endpoint);
+        let limited = limit.filter(|limit| limit.rate.is_some());
+        limited.map_or(0, |limit| {
+            f64_to_u64((limit.next_at - u64_to_f64(now)).max(0.0).ceil())
+        })
+    }
+
+    /// Counts a request that the endpoint gets. Call it only when [`Self::wait_ms`] is zero.
+    pub fn take(&mut self, endpoint: &EndpointId, now: Millis) {
+        let share = self.share;
+        if let Some(limit) = self.limits.get_mut(endpoint)
+            && let Some(rate) = limit.rate
+        {
+            limit.next_at = limit.next_at.max(u64_to_f64(now)) + interval_ms(rate, share);
+        }
+    }
+
+    /// Expected wait of a request behind `ahead` others for which only `endpoints`, all limited,
+    /// are left, in milliseconds; zero if one of them has no limit.
+    #[must_use]
+    pub fn expected_wait_ms<'a>(
+        &self,
+        endpoints: impl Iterator<Item = &'a EndpointId>,
+        ahead: usize,
+        now: Millis,
+    ) -> f64 {
+        let mut first_ms = f64::INFINITY;
+        let mut per_ms = 0.0;
+        for endpoint in endpoints {
+            let Some(rate) = self.rate(endpoint) else {
+                return 0.0;
+            };
+            first_ms = first_ms.min(u64_to_f64(self.wait_ms(endpoint, now)));
+            per_ms += 1.0 / interval_ms(rate, self.share);
+        }
+        if per_ms > 0.0 {
+            first_ms + usize_to_f64(ahead) / per_ms
+        } else {
+            0.0
+        }
+    }
+
+    /// The limits in force, for another dispatcher.
+    #[must_use]
+    pub fn notices(&self, now: Millis) -> Vec<RateNotice> {
+        let known = self.limits.iter();
+        known
+            .filter(|(_, limit)| limit.rate.is_some())
+            .map(|(endpoint, limit)| RateNotice {
+                endpoint: endpoint.clone(),
+                rate: limit.rate,
+                age: now.saturating_sub(limit.heard_at),
+            })
+            .collect()
+    }
+}
+
+/// Time between two grants, in milliseconds.
+fn interval_ms(rate: RequestRate, share: f64) -> f64 {
+    MILLIS_PER_SECOND / (rate.per_second().max(MIN_RATE) * share)
+}
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -12,6 +12,7 @@
 use policy::ids::{DomainId, EndpointId, Millis, PoolId};
 use policy::outcome::{Refusal, RefusalReason, RetryReason};
 use policy::poison::{CrashReport, PoisonStatus};
+use policy::rate_limit::{RateNotice, RateTable, RequestRate};
 use policy::retry::{BudgetLimits, BudgetTable, RetryDecision};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -91,6 +92,8 @@
     balancers: RefCell<HashMap<PoolId, CallBalancer>>,
     retries: RefCell<BudgetTable<PoolId>>,
     phase: Cell<RelayPhase>,
+    /// Limits that endpoints have named in answers to this instance.
+    heard_limits: RefCell<RateTable>,
     last_request_number: Cell<u64>,
     notices_added: Notify,
     random: RefCell<SmallRng>,
@@ -109,6 +112,7 @@
             balancers: RefCell::new(HashMap::new()),
             retries: RefCell::new(BudgetTable::new(CALL_RETRY_LIMITS)),
             phase: Cell::new(RelayPhase::Starting),
+            heard_limits: RefCell::new(RateTable::new()),
             last_request_number: Cell::new(0),
             notices_added: Notify::new(),
             random: RefCell::new(SmallRng::from_os_rng()),
@@ -401,11 +405,7 @@
         }
     }
 
-    fn quarantine_refusal(
-        crashes: &CrashRegistry,
-        request: &RelayRequest,
-        now: Millis,
-    ) -> Refusal {
+    fn quarantine_refusal(crashes: &CrashRegistry, request: &RelayRequest, now: Millis) -> Refusal {
         let (count, age) = crashes.crashes(request.fingerprint(), now);
         spdlog::info!("run refused by quarantine", kv: {
             request = request.head.request_id.as_str(),
@@ -416,6 +416,38 @@
         Refusal::new(RefusalReason::Quarantined, request.time_left(now))
     }
 
+    /// Records the limit that an endpoint names, or does not name, in its answer to a request that
+    /// was sent at `sent_at`. Only the answer to a request that was sent after the limit was last
+    /// heard of can end it.
+    pub(crate) fn heard_limit(
+        &self,
+        endpoint: &EndpointId,
+        rate: Option<RequestRate>,
+        sent_at: Millis,
+    ) {
+        let now = self.now();
+        let mut limits = self.heard_limits.borrow_mut();
+        let is_news = match (rate, limits.heard_at(endpoint)) {
+            (Some(_), _) => true,
+            (None, Some(heard_at)) => sent_at > heard_at,
+            (None, None) => false,
+        };
+        if !is_news {
+            return;
+        }
+        let notice = RateNotice {
+            endpoint: endpoint.clone(),
+            rate,
+            age: 0,
+        };
+        if limits.apply(&notice, now) {
+            spdlog::info!("endpoint changed its limit", kv: {
+                endpoint = endpoint.as_str(),
+                per_second = rate.map_or(-1.0, RequestRate::per_second),
+            });
+        }
+    }
+
     /// Records a run that was sent and ended without a whole answer. The logged fingerprint connects
     /// the runs of one request across attempts and instances.
     pub(crate) fn run_failed(
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -5,6 +5,7 @@
 use ntex::http::HeaderMap;
 use ntex::http::header::HeaderName;
 use policy::ids::{AccountId, EndpointId, Millis};
+use policy::rate_limit::RequestRate;
 
 /// Sizes of a prompt and its answer, as stated by the caller.
 #[derives::value]
@@ -74,6 +75,9 @@
     pub statement: RunStatement,
     /// Address of the endpoint at fault, if it is not the one that answers.
     pub at_fault: Option<SocketAddr>,
+    /// Requests a second that the endpoint accepts from all instances together; `None` if it names
+    /// no limit.
+    pub rate_limit: Option<RequestRate>,
 }
 
 /// Whether an answer carries an endpoint's signature.
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -261,6 +261,9 @@
 ) -> Result<WholeAnswer, CallError> {
     let head = core.dialect().read_answer(&answer.headers);
     let matches_request = head.request_id.as_deref() == Some(request.head.request_id.as_str());
+    if matches_request && answer.status != StatusCode::MISDIRECTED_REQUEST {
+        core.heard_limit(&guard.target.endpoint, head.rate_limit, guard.sent_at);
+    }
     if head.statement == RunStatement::NotRun && !answer.status.is_success() {
         return Err(CallError::new(
             RunOutcome::Refused,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -581,8 +581,9 @@
         grant: &PlacementGrant,
         reservation: Option<&MemoryReservation>,
     ) -> Result<(EventStream, StreamHead), RunError> {
+        let sent_at = self.core.now();
         let answer = self.send(grant, reservation).await?;
-        let (body, head) = self.validate_head(answer).await?;
+        let (body, head) = self.validate_head(grant, answer, sent_at).await?;
         let mut stream = EventStream::new(body);
         while stream.events.is_empty() && !stream.is_ended {
             stream.read(&mut self.last_event).await?;
@@ -628,10 +629,18 @@
     /// which keeps the answer if it may be forwarded.
     async fn validate_head(
         &self,
+        grant: &PlacementGrant,
         answer: EndpointAnswer,
+        sent_at: Millis,
     ) -> Result<(AnswerBody, StreamHead), RunError> {
         let head = self.core.dialect().read_answer(&answer.headers);
         let status = answer.status;
+        let matches_request =
+            head.request_id.as_deref() == Some(self.request.head.request_id.as_str());
+        if matches_request && status != StatusCode::MISDIRECTED_REQUEST {
+            self.core
+                .heard_limit(&grant.host.endpoint, head.rate_limit, sent_at);
+        }
         if head.statement == RunStatement::NotRun && !status.is_success() {
             // An endpoint that names another one at fault could not connect to it.
             let outcome = match head.at_fault {
@@ -643,8 +652,6 @@
             error.report = error.report.with_fault_at(head.at_fault);
             return Err(error);
         }
-        let matches_request =
-            head.request_id.as_deref() == Some(self.request.head.request_id.as_str());
         if !matches_request || head.signed == AnswerSignature::Unsigned {
             return Err(RunError::new(
                 RunOutcome::Broken,
