@@ -6157,256 +7211,342 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
-            pub(crate) const TYPE_ID: u64 = 0xb8f5_51c2_e7ec_c54e;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) const TYPE_ID: u64 = 0xdd18_13bd_161b_601a;
         }
     }
-}
-
-pub mod session {
-    #![allow(unused_variables)]
-    pub type AskParams =
-        ::capnp::capability::Params<crate::dispatch_capnp::session::ask_params::Owned>;
-    pub type AskResults =
-        ::capnp::capability::Results<crate::dispatch_capnp::session::ask_results::Owned>;
-    pub type NoteParams =
-        ::capnp::capability::Params<crate::dispatch_capnp::session::note_params::Owned>;
-    pub type NoteResults =
-        ::capnp::capability::Results<crate::dispatch_capnp::session::note_results::Owned>;
-    pub type PingParams =
-        ::capnp::capability::Params<crate::dispatch_capnp::session::ping_params::Owned>;
-    pub type PingResults =
-        ::capnp::capability::Results<crate::dispatch_capnp::session::ping_results::Owned>;
 
-    pub struct Client {
-        pub client: ::capnp::capability::Client,
-    }
-    impl ::capnp::capability::FromClientHook for Client {
-        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
-            Self {
-                client: ::capnp::capability::Client::new(hook),
+    pub mod ask_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
             }
         }
-        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
-            self.client.hook
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
         }
-        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
-            &*self.client.hook
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
         }
-    }
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned {
-        fn introspect() -> ::capnp::introspect::Type {
-            ::capnp::introspect::TypeVariant::Capability.into()
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
         }
-    }
-    impl ::capnp::traits::Owned for Owned {
-        type Reader<'a> = Client;
-        type Builder<'a> = Client;
-    }
-    impl ::capnp::traits::Pipelined for Owned {
-        type Pipeline = Client;
-    }
-    impl<'a> ::capnp::traits::FromPointerReader<'a> for Client {
-        fn get_from_pointer(
-            reader: &::capnp::private::layout::PointerReader<'a>,
-            _default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(
-                reader.get_capability()?,
-            ))
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
         }
-    }
-    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Client {
-        fn init_pointer(
-            _builder: ::capnp::private::layout::PointerBuilder<'a>,
-            _size: u32,
-        ) -> Self {
-            unimplemented!()
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
         }
-        fn get_from_pointer(
-            builder: ::capnp::private::layout::PointerBuilder<'a>,
-            _default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(
-                builder.get_capability()?,
-            ))
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
         }
-    }
 
-    impl ::capnp::traits::SetterInput<Owned> for Client {
-        fn set_pointer_builder(
-            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
-            from: Self,
-            _canonicalize: bool,
-        ) -> ::capnp::Result<()> {
-            pointer.set_capability(from.client.hook);
-            ::core::result::Result::Ok(())
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
         }
-    }
-    impl ::capnp::traits::HasTypeId for Client {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl Clone for Client {
-        fn clone(&self) -> Self {
-            Self {
-                client: self.client.clone(),
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
             }
         }
-    }
-    impl Client {
-        pub fn ask_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::dispatch_capnp::session::ask_params::Owned,
-            crate::dispatch_capnp::session::ask_results::Owned,
-        > {
-            self.client
-                .new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_verdict(
+                self,
+            ) -> ::capnp::Result<crate::dispatch_capnp::verdict::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_verdict(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
-        pub fn note_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::dispatch_capnp::session::note_params::Owned,
-            crate::dispatch_capnp::session::note_results::Owned,
-        > {
-            self.client
-                .new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
         }
-        pub fn ping_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::dispatch_capnp::session::ping_params::Owned,
-            crate::dispatch_capnp::session::ping_results::Owned,
-        > {
-            self.client
-                .new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 0,
+                    pointers: 1,
+                };
         }
-    }
-    pub trait Server: 'static {
-        fn ask(
-            self: ::capnp::capability::Rc<Self>,
-            _: AskParams,
-            _: AskResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method session::Server::ask not implemented".to_string(),
-            )))
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        fn note(
-            self: ::capnp::capability::Rc<Self>,
-            _: NoteParams,
-            _: NoteResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method session::Server::note not implemented".to_string(),
-            )))
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
         }
-        fn ping(
-            self: ::capnp::capability::Rc<Self>,
-            _: PingParams,
-            _: PingResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method session::Server::ping not implemented".to_string(),
-            )))
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
         }
-    }
-    pub struct ServerDispatch<_T> {
-        pub server: ::capnp::capability::Rc<_T>,
-    }
-    impl<_S: Server + 'static> ::capnp::capability::FromServer<_S> for Client {
-        type Dispatch = ServerDispatch<_S>;
-        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S> {
-            ServerDispatch { server: s }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
         }
-    }
-    impl<_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
-        type Target = _T;
-        fn deref(&self) -> &_T {
-            &self.server
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
         }
-    }
-    impl<_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
-        fn clone(&self) -> Self {
-            Self {
-                server: self.server.clone(),
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
             }
         }
-    }
-    impl<_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
-        fn dispatch_call(
-            self,
-            interface_id: u64,
-            method_id: u16,
-            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
-            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
-        ) -> ::capnp::capability::DispatchCallResult {
-            match interface_id {
-                _private::TYPE_ID => {
-                    Self::dispatch_call_internal(self.server, method_id, params, results)
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
                 }
-                _ => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
-                        "Method not implemented.".to_string(),
-                    )),
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_verdict(
+                self,
+            ) -> ::capnp::Result<crate::dispatch_capnp::verdict::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_verdict(
+                &mut self,
+                value: crate::dispatch_capnp::verdict::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
                     false,
-                ),
+                )
+            }
+            #[inline]
+            pub fn init_verdict(self) -> crate::dispatch_capnp::verdict::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
+            }
+            #[inline]
+            pub fn has_verdict(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
-        fn as_ptr(&self) -> usize {
-            ::capnp::capability::Rc::as_ptr(&self.server) as usize
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
         }
-    }
-    impl<_T: Server> ServerDispatch<_T> {
-        pub fn dispatch_call_internal(
-            this: ::capnp::capability::Rc<_T>,
-            method_id: u16,
-            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
-            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
-        ) -> ::capnp::capability::DispatchCallResult {
-            match method_id {
-                0 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::ask(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                1 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::note(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                2 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::ping(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                _ => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
-                        "Method not implemented.".to_string(),
-                    )),
-                    false,
-                ),
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {
+            pub fn get_verdict(&self) -> crate::dispatch_capnp::verdict::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(223, 27, 168, 154, 200, 170, 195, 137),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 105, 115, 112, 97, 116, 99, 104),
+                ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
+                ::capnp::word(101, 115, 115, 105, 111, 110, 46, 97),
+                ::capnp::word(115, 107, 36, 82, 101, 115, 117, 108),
+                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(118, 101, 114, 100, 105, 99, 116, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(214, 166, 53, 159, 94, 111, 156, 210),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::dispatch_capnp::verdict::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x89c3_aac8_9aa8_1bdf;
         }
     }
-    pub(crate) mod _private {
-        pub(crate) const TYPE_ID: u64 = 0xd7c1_4c98_f6c9_75b4;
-    }
 
-    pub mod ask_params {
+    pub mod note_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -6514,18 +7654,17 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_number(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_work(self) -> ::capnp::Result<crate::dispatch_capnp::work::Reader<'a>> {
+            pub fn get_notes(
+                self,
+            ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::dispatch_capnp::note::Owned>>
+            {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_work(&self) -> bool {
+            pub fn has_notes(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -6536,7 +7675,7 @@
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
-                    data: 1,
+                    data: 0,
                     pointers: 1,
                 };
         }
@@ -6625,24 +7764,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_number(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_number(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-            #[inline]
-            pub fn get_work(self) -> ::capnp::Result<crate::dispatch_capnp::work::Builder<'a>> {
+            pub fn get_notes(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Builder<'a, crate::dispatch_capnp::note::Owned>,
+            > {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_work(
+            pub fn set_notes(
                 &mut self,
-                value: crate::dispatch_capnp::work::Reader<'_>,
+                value: ::capnp::struct_list::Reader<'_, crate::dispatch_capnp::note::Owned>,
             ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
@@ -6651,14 +7786,17 @@
                 )
             }
             #[inline]
-            pub fn init_work(self) -> crate::dispatch_capnp::work::Builder<'a> {
+            pub fn init_notes(
+                self,
+                size: u32,
+            ) -> ::capnp::struct_list::Builder<'a, crate::dispatch_capnp::note::Owned> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(
                     self.builder.get_pointer_field(0),
-                    0,
+                    size,
                 )
             }
             #[inline]
-            pub fn has_work(&self) -> bool {
+            pub fn has_notes(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -6673,66 +7811,50 @@
                 }
             }
         }
-        impl Pipeline {
-            pub fn get_work(&self) -> crate::dispatch_capnp::work::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
-        }
+        impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(26, 96, 27, 22, 189, 19, 24, 221),
-                ::capnp::word(23, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(202, 136, 132, 210, 182, 243, 214, 204),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(100, 105, 115, 112, 97, 116, 99, 104),
                 ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
-                ::capnp::word(101, 115, 115, 105, 111, 110, 46, 97),
-                ::capnp::word(115, 107, 36, 80, 97, 114, 97, 109),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(101, 115, 115, 105, 111, 110, 46, 110),
+                ::capnp::word(111, 116, 101, 36, 80, 97, 114, 97),
+                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(110, 111, 116, 101, 115, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(119, 111, 114, 107, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(199, 181, 249, 99, 176, 107, 50, 253),
+                ::capnp::word(18, 153, 89, 101, 153, 117, 188, 139),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <crate::dispatch_capnp::work::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::struct_list::Owned<crate::dispatch_capnp::note::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6751,14 +7873,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
-            pub(crate) const TYPE_ID: u64 = 0xdd18_13bd_161b_601a;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xccd6_f3b6_d284_88ca;
         }
     }
 
-    pub mod ask_results {
+    pub mod note_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -6857,7 +7979,7 @@
             }
         }
 
-        impl<'a> Reader<'a> {
+        impl Reader<'_> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -6865,19 +7987,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
-            #[inline]
-            pub fn get_verdict(
-                self,
-            ) -> ::capnp::Result<crate::dispatch_capnp::verdict::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn has_verdict(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
         }
 
         pub struct Builder<'a> {
@@ -6887,7 +7996,7 @@
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
                     data: 0,
-                    pointers: 1,
+                    pointers: 0,
                 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -6974,37 +8083,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
-            #[inline]
-            pub fn get_verdict(
-                self,
-            ) -> ::capnp::Result<crate::dispatch_capnp::verdict::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn set_verdict(
-                &mut self,
-                value: crate::dispatch_capnp::verdict::Reader<'_>,
-            ) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(
-                    self.builder.reborrow().get_pointer_field(0),
-                    value,
-                    false,
-                )
-            }
-            #[inline]
-            pub fn init_verdict(self) -> crate::dispatch_capnp::verdict::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(
-                    self.builder.get_pointer_field(0),
-                    0,
-                )
-            }
-            #[inline]
-            pub fn has_verdict(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
         }
 
         pub struct Pipeline {
@@ -7017,52 +8095,29 @@
                 }
             }
         }
-        impl Pipeline {
-            pub fn get_verdict(&self) -> crate::dispatch_capnp::verdict::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
-        }
+        impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(223, 27, 168, 154, 200, 170, 195, 137),
+                ::capnp::word(76, 43, 220, 180, 133, 101, 74, 130),
                 ::capnp::word(23, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(100, 105, 115, 112, 97, 116, 99, 104),
                 ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
-                ::capnp::word(101, 115, 115, 105, 111, 110, 46, 97),
-                ::capnp::word(115, 107, 36, 82, 101, 115, 117, 108),
-                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(118, 101, 114, 100, 105, 99, 116, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(214, 166, 53, 159, 94, 111, 156, 210),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 115, 115, 105, 111, 110, 46, 110),
+                ::capnp::word(111, 116, 101, 36, 82, 101, 115, 117),
+                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <crate::dispatch_capnp::verdict::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(
                 child_index: Option<u16>,
@@ -7079,14 +8134,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x89c3_aac8_9aa8_1bdf;
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x824a_6585_b4dc_2b4c;
         }
     }
 
-    pub mod note_params {
+    pub mod ping_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -7185,7 +8240,7 @@
             }
         }
 
-        impl<'a> Reader<'a> {
+        impl Reader<'_> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -7193,20 +8248,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
-            #[inline]
-            pub fn get_notes(
-                self,
-            ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::dispatch_capnp::note::Owned>>
-            {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn has_notes(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
         }
 
         pub struct Builder<'a> {
@@ -7216,7 +8257,7 @@
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
                     data: 0,
-                    pointers: 1,
+                    pointers: 0,
                 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -7303,42 +8344,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
-            #[inline]
-            pub fn get_notes(
-                self,
-            ) -> ::capnp::Result<
-                ::capnp::struct_list::Builder<'a, crate::dispatch_capnp::note::Owned>,
-            > {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn set_notes(
-                &mut self,
-                value: ::capnp::struct_list::Reader<'_, crate::dispatch_capnp::note::Owned>,
-            ) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(
-                    self.builder.reborrow().get_pointer_field(0),
-                    value,
-                    false,
-                )
-            }
-            #[inline]
-            pub fn init_notes(
-                self,
-                size: u32,
-            ) -> ::capnp::struct_list::Builder<'a, crate::dispatch_capnp::note::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(
-                    self.builder.get_pointer_field(0),
-                    size,
-                )
-            }
-            #[inline]
-            pub fn has_notes(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
         }
 
         pub struct Pipeline {
@@ -7353,50 +8358,27 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(202, 136, 132, 210, 182, 243, 214, 204),
+                ::capnp::word(65, 172, 162, 93, 33, 229, 194, 155),
                 ::capnp::word(23, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(100, 105, 115, 112, 97, 116, 99, 104),
                 ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
-                ::capnp::word(101, 115, 115, 105, 111, 110, 46, 110),
-                ::capnp::word(111, 116, 101, 36, 80, 97, 114, 97),
+                ::capnp::word(101, 115, 115, 105, 111, 110, 46, 112),
+                ::capnp::word(105, 110, 103, 36, 80, 97, 114, 97),
                 ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(110, 111, 116, 101, 115, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(18, 153, 89, 101, 153, 117, 188, 139),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <::capnp::struct_list::Owned<crate::dispatch_capnp::note::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(
                 child_index: Option<u16>,
@@ -7413,14 +8395,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xccd6_f3b6_d284_88ca;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x9bc2_e521_5da2_ac41;
         }
     }
 
-    pub mod note_results {
+    pub mod ping_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -7639,7 +8621,7 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(76, 43, 220, 180, 133, 101, 74, 130),
+                ::capnp::word(186, 201, 182, 134, 10, 29, 244, 252),
                 ::capnp::word(23, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
@@ -7652,8 +8634,8 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(100, 105, 115, 112, 97, 116, 99, 104),
                 ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
-                ::capnp::word(101, 115, 115, 105, 111, 110, 46, 110),
-                ::capnp::word(111, 116, 101, 36, 82, 101, 115, 117),
+                ::capnp::word(101, 115, 115, 105, 111, 110, 46, 112),
+                ::capnp::word(105, 110, 103, 36, 82, 101, 115, 117),
                 ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
@@ -7677,11 +8659,11 @@
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0x824a_6585_b4dc_2b4c;
+            pub(crate) const TYPE_ID: u64 = 0xfcf4_1d0a_86b6_c9ba;
         }
     }
 
-    pub mod ping_params {
+    pub mod permit_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -7780,7 +8762,7 @@
             }
         }
 
-        impl Reader<'_> {
+        impl<'a> Reader<'a> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -7788,6 +8770,17 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_endpoint(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -7797,7 +8790,7 @@
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
                     data: 0,
-                    pointers: 0,
+                    pointers: 1,
                 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -7884,6 +8877,33 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_endpoint(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_endpoint(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline {
@@ -7898,27 +8918,47 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(65, 172, 162, 93, 33, 229, 194, 155),
+                ::capnp::word(14, 123, 116, 57, 71, 57, 244, 149),
                 ::capnp::word(23, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(100, 105, 115, 112, 97, 116, 99, 104),
                 ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
                 ::capnp::word(101, 115, 115, 105, 111, 110, 46, 112),
-                ::capnp::word(105, 110, 103, 36, 80, 97, 114, 97),
-                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 114, 109, 105, 116, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(
                 child_index: Option<u16>,
@@ -7935,14 +8975,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0x9bc2_e521_5da2_ac41;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x95f4_3947_3974_7b0e;
         }
     }
 
-    pub mod ping_results {
+    pub mod permit_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -8049,6 +9089,14 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_granted(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> {
@@ -8057,7 +9105,7 @@
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
-                    data: 0,
+                    data: 2,
                     pointers: 0,
                 };
         }
@@ -8145,6 +9193,22 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_granted(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_granted(&mut self, value: bool) {
+                self.builder.set_bool_field(0, value);
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_wait_ms(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(1, value);
+            }
         }
 
         pub struct Pipeline {
@@ -8159,27 +9223,62 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(186, 201, 182, 134, 10, 29, 244, 252),
-                ::capnp::word(23, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(129, 116, 172, 203, 229, 0, 119, 189),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(100, 105, 115, 112, 97, 116, 99, 104),
                 ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
                 ::capnp::word(101, 115, 115, 105, 111, 110, 46, 112),
-                ::capnp::word(105, 110, 103, 36, 82, 101, 115, 117),
-                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 114, 109, 105, 116, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(
                 child_index: Option<u16>,
@@ -8196,10 +9295,10 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xfcf4_1d0a_86b6_c9ba;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) const TYPE_ID: u64 = 0xbd77_00e5_cbac_7481;
         }
     }
 }
--- a/crates/peer/src/dispatch_message.rs
+++ b/crates/peer/src/dispatch_message.rs
@@ -12,6 +12,7 @@
 use policy::ids::{AccountId, DomainId, EndpointId, PoolId};
 use policy::outcome::{Refusal, RefusalReason, RetryReason};
 use policy::poison::Fingerprint;
+use policy::rate_limit::{RateNotice, RequestRate};
 
 use crate::message::list_length;
 
@@ -22,6 +23,8 @@
     FirstEvent(u64),
     /// The run ended, or its placement request was withdrawn.
     Finished(u64, RunReport),
+    /// An endpoint has named a limit on its requests, or no longer names one.
+    Limit(RateNotice),
 }
 
 pub(crate) fn write_placement_request(
@@ -175,6 +178,13 @@
             let fault_at = report.at_fault.map(|address| address.to_string());
             finished.set_fault_at(fault_at.as_deref().unwrap_or(""));
         }
+        RunUpdate::Limit(notice) => {
+            let mut limit = builder.init_limit();
+            limit.set_endpoint(notice.endpoint.as_str());
+            limit.set_is_limited(notice.rate.is_some());
+            limit.set_rate(notice.rate.map_or(0.0, RequestRate::per_second));
+            limit.set_age(notice.age);
+        }
     }
 }
 
@@ -193,9 +203,23 @@
             let report = RunReport::new(outcome).with_fault_at(at_fault);
             Ok(RunUpdate::Finished(number, report))
         }
+        schema::note::Limit(limit) => Ok(RunUpdate::Limit(RateNotice {
+            endpoint: EndpointId::new(limit.get_endpoint()?.to_str()?),
+            rate: if limit.get_is_limited() {
+                Some(read_rate(limit.get_rate())?)
+            } else {
+                None
+            },
+            age: limit.get_age(),
+        })),
     }
 }
 
+fn read_rate(per_second: f64) -> Result<RequestRate, Error> {
+    RequestRate::new(per_second)
+        .ok_or_else(|| Error::failed(format!("{per_second} is no rate of requests")))
+}
+
 pub(crate) fn write_in_flight_run(
     mut builder: schema::held::Builder<'_>,
     run: &InFlightRun,
--- a/crates/peer/src/steward_link.rs
+++ b/crates/peer/src/steward_link.rs
@@ -12,7 +12,8 @@
 use futures::{AsyncReadExt, FutureExt};
 use peer_schema::dispatch_capnp::{instance, session};
 use policy::dispatch::placement::{InFlightRun, PlacementDecision, PlacementRequest};
-use policy::ids::InstanceId;
+use policy::ids::{EndpointId, InstanceId};
+use policy::rate_limit::PermitDecision;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -90,6 +91,27 @@
         .boxed_local()
     }
 
+    /// Asks for permission to send a call to a limited endpoint of a plain service.
+    #[must_use]
+    pub fn request_permit(
+        &self,
+        endpoint: &EndpointId,
+    ) -> LocalBoxFuture<'static, Result<PermitDecision, PeerError>> {
+        let mut request = self.session.permit_request();
+        request.get().set_endpoint(endpoint.as_str());
+        let sent = request.send().promise;
+        async move {
+            let answer = sent.await.map_err(answer_lost)?;
+            let reader = answer.get().map_err(answer_lost)?;
+            Ok(if reader.get_granted() {
+                PermitDecision::Granted
+            } else {
+                PermitDecision::Wait(reader.get_wait_ms())
+            })
+        }
+        .boxed_local()
+    }
+
     /// Reports progress and ends of granted runs, without waiting for an answer.
     pub fn report_runs(&self, updates: &[RunUpdate]) {
         let Ok(length) = list_length(updates.len()) else {
--- a/crates/peer/src/steward_server.rs
+++ b/crates/peer/src/steward_server.rs
@@ -11,7 +11,8 @@
 use futures::future::LocalBoxFuture;
 use peer_schema::dispatch_capnp::{instance, session};
 use policy::dispatch::placement::{InFlightRun, PlacementDecision, PlacementRequest};
-use policy::ids::InstanceId;
+use policy::ids::{EndpointId, InstanceId};
+use policy::rate_limit::PermitDecision;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
@@ -36,6 +37,9 @@
         placement_request: PlacementRequest,
     ) -> LocalBoxFuture<'static, PlacementDecision>;
 
+    /// Counts a call to a limited endpoint of a plain service if the endpoint may get one now.
+    fn request_permit(&self, endpoint: &EndpointId) -> PermitDecision;
+
     /// Records progress and ends of granted runs.
     fn report_runs(&self, session: u64, updates: Vec<RunUpdate>);
 
@@ -171,6 +175,20 @@
         Ok(())
     }
 
+    async fn permit(
+        self: Rc<Self>,
+        params: session::PermitParams,
+        mut results: session::PermitResults,
+    ) -> Result<(), Error> {
+        self.check()?;
+        let endpoint = EndpointId::new(params.get()?.get_endpoint()?.to_str()?);
+        match self.handler.request_permit(&endpoint) {
+            PermitDecision::Granted => results.get().set_granted(true),
+            PermitDecision::Wait(wait) => results.get().set_wait_ms(wait),
+        }
+        Ok(())
+    }
+
     async fn ping(
         self: Rc<Self>,
         _params: session::PingParams,
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -14,6 +14,7 @@
 use crate::ids::{Millis, PoolId};
 use crate::outcome::{Refusal, RefusalReason};
 use crate::poison::{CrashReport, PoisonStatus, PoisonTable};
+use crate::rate_limit::RateTable;
 use crate::retry::{RetryBudget, RetryDecision};
 
 /// Exact counts of the runs on the engines of each pool, and the queued placement requests.
@@ -26,6 +27,7 @@
     pools: BTreeMap<PoolId, PoolDispatcher>,
     run_pools: HashMap<RunKey, PoolId>,
     poison: PoisonTable,
+    rates: RateTable,
 }
 
 impl Dispatcher {
@@ -38,9 +40,21 @@
             pools: BTreeMap::new(),
             run_pools: HashMap::new(),
             poison,
+            rates: RateTable::new(),
         }
     }
 
+    /// Limits that endpoints have named, and the pace of the requests that they get.
+    #[must_use]
+    pub fn rates(&self) -> &RateTable {
+        &self.rates
+    }
+
+    /// Limits that endpoints have named, and the pace of the requests that they get, for changes.
+    pub fn rates_mut(&mut self) -> &mut RateTable {
+        &mut self.rates
+    }
+
     /// Adds a pool or replaces its cost model.
     pub fn set_pool(&mut self, pool: &PoolId, profile: &EngineProfile) {
         if let Some(pool_dispatcher) = self.pools.get_mut(pool) {
@@ -193,7 +207,7 @@
     pub fn decide(&mut self, now: Millis) -> Vec<(RunKey, PlacementDecision)> {
         let mut decisions = Vec::new();
         for pool_dispatcher in self.pools.values_mut() {
-            pool_dispatcher.decide(&self.limits, now, &mut decisions);
+            pool_dispatcher.decide(&self.limits, &mut self.rates, now, &mut decisions);
         }
         for (key, decision) in &decisions {
             if let PlacementDecision::Refused(_) = decision {
--- a/crates/policy/src/dispatch/pool_dispatcher.rs
+++ b/crates/policy/src/dispatch/pool_dispatcher.rs
@@ -18,6 +18,7 @@
 use crate::ids::{EndpointId, Millis};
 use crate::outcome::{Refusal, RefusalReason};
 use crate::poison::Fingerprint;
+use crate::rate_limit::RateTable;
 use crate::retry::RetryBudget;
 
 /// Retry-after of a request that no endpoint can serve, in milliseconds.
@@ -37,6 +38,14 @@
     pub(super) fingerprint: Fingerprint,
 }
 
+/// Queued requests that were considered earlier in a round and not decided.
+#[derive(Debug, Default)]
+struct QueuedAhead {
+    count: usize,
+    /// Sum of their prefill times, in milliseconds.
+    prefill_ms: f64,
+}
+
 /// A run that has ended.
 pub(super) struct EndedRun {
     pub(super) fingerprint: Fingerprint,
@@ -204,6 +213,7 @@
     pub(super) fn decide(
         &mut self,
         limits: &DispatchLimits,
+        rates: &mut RateTable,
         now: Millis,
         decisions: &mut Vec<(RunKey, PlacementDecision)>,
     ) {
@@ -220,16 +230,14 @@
             let (left, right) = (sort_key(left), sort_key(right));
             left.0.cmp(&right.0).then(left.1.total_cmp(&right.1))
         });
-        let mut ahead_ms = 0.0;
-        let mut tries = 0;
+        let mut ahead = QueuedAhead::default();
         for queued in queued {
-            let can_try = tries < limits.tries_per_round;
-            if let Some(decision) = self.decide_one(&queued, limits, ahead_ms, can_try, now) {
+            if let Some(decision) = self.decide_one(&queued, limits, rates, &ahead, now) {
                 decisions.push((queued.key, decision));
                 continue;
             }
-            tries += 1;
-            ahead_ms += queued.prefill_ms;
+            ahead.count += 1;
+            ahead.prefill_ms += queued.prefill_ms;
             self.queued.push(queued);
         }
     }
@@ -238,17 +246,23 @@
         &mut self,
         queued: &QueuedRequest,
         limits: &DispatchLimits,
-        ahead_ms: f64,
-        can_try: bool,
+        rates: &mut RateTable,
+        ahead: &QueuedAhead,
         now: Millis,
     ) -> Option<PlacementDecision> {
         let search = PlacementSearch {
             profile: &self.profile,
             limits,
+            rates,
             endpoints: &self.endpoints,
             now,
         };
-        let usable = search.usable(&queued.request).len();
+        let usable_endpoints = search.usable(&queued.request);
+        let usable = usable_endpoints.len();
+        let endpoints = usable_endpoints
+            .iter()
+            .map(|index| &self.endpoints[*index].info.target.endpoint);
+        let limit_wait_ms = rates.expected_wait_ms(endpoints, ahead.count, now);
         if usable == 0 {
             let refusal = Refusal::new(RefusalReason::NoEndpoint, NO_ENDPOINT_RETRY_AFTER);
             return Some(PlacementDecision::Refused(refusal));
@@ -265,7 +279,7 @@
         } else {
             PausePolicy::Relaxed
         };
-        let plan = if can_try {
+        let plan = if ahead.count < limits.tries_per_round {
             search.plan(&queued.request, pause_policy)
         } else {
             None
@@ -273,6 +287,7 @@
         let ideal_ms = self.ideal_ms(queued, engines);
         let plan = plan.filter(|plan| queued.accepts(limits, plan.first_event_ms, ideal_ms, now));
         if let Some(plan) = plan {
+            rates.take(&self.endpoints[plan.host].info.target.endpoint, now);
             return Some(PlacementDecision::Granted(self.commit(
                 queued.key,
                 &queued.request,
@@ -280,9 +295,13 @@
                 now,
             )));
         }
-        let first_event_ms = self.expected_wait_ms(usable, limits, ahead_ms, now) + ideal_ms;
+        if let Some(refusal) = queued.limit_refusal(limits, limit_wait_ms, now) {
+            return Some(PlacementDecision::Refused(refusal));
+        }
+        let wait_ms = self.expected_wait_ms(usable, limits, ahead.prefill_ms, now);
+        let first_event_ms = wait_ms.max(limit_wait_ms) + ideal_ms;
         let refusal = match queued.class(limits, now) {
-            QueueClass::Short => queued.refusal(limits, 0.0, now),
+            QueueClass::Short => queued.refusal(limits, limit_wait_ms, now),
             QueueClass::OnTime | QueueClass::Late => queued.refusal(limits, first_event_ms, now),
         };
         refusal.map(PlacementDecision::Refused)
--- a/crates/policy/src/dispatch/queued_request.rs
+++ b/crates/policy/src/dispatch/queued_request.rs
@@ -90,6 +90,22 @@
         }
     }
 
+    /// The refusal if the limits of the endpoints, which hold the request back for `wait_ms`, keep it
+    /// queued for too long. Its caller learns at once when to come back.
+    pub(super) fn limit_refusal(
+        &self,
+        limits: &DispatchLimits,
+        wait_ms: f64,
+        now: Millis,
+    ) -> Option<Refusal> {
+        let waited = u64_to_f64(now.saturating_sub(self.enqueued_at));
+        let longest_wait_ms = u64_to_f64(self.request.first_event_aim) * limits.longest_wait;
+        (wait_ms > 0.0 && waited + wait_ms > longest_wait_ms).then(|| {
+            let retry_after = retry_after_time(limits, wait_ms, self.time_left(now));
+            Refusal::new(RefusalReason::EndpointLimits, retry_after)
+        })
+    }
+
     /// The refusal if the first event, expected in `first_event_ms`, would come too late or the
     /// request has been queued for too long.
     pub(super) fn refusal(
--- a/crates/policy/src/dispatch/search.rs
+++ b/crates/policy/src/dispatch/search.rs
@@ -14,6 +14,7 @@
 use super::prefill_queue::{EngineMode, PartEstimate, PrefillShare};
 use crate::cast::{f64_to_u64, u64_to_f64, usize_to_f64};
 use crate::ids::{DomainId, Millis};
+use crate::rate_limit::RateTable;
 
 /// Numbers of engines that the search considers splitting a prompt over.
 const SPLIT_COUNTS: [usize; 10] = [1, 2, 3, 4, 5, 6, 8, 11, 14, 17];
@@ -130,6 +131,7 @@
 pub(super) struct PlacementSearch<'a> {
     pub(super) profile: &'a EngineProfile,
     pub(super) limits: &'a DispatchLimits,
+    pub(super) rates: &'a RateTable,
     pub(super) endpoints: &'a [EndpointLoad],
     pub(super) now: Millis,
 }
@@ -198,8 +200,13 @@
         pause_policy: PausePolicy,
     ) -> Vec<PlacementCandidate<'_>> {
         let usable = self.usable(request);
+        let may_get_request = |index: &usize| {
+            let endpoint = &self.endpoints[*index].info.target.endpoint;
+            self.rates.wait_ms(endpoint, self.now) == 0
+        };
         usable
             .into_iter()
+            .filter(may_get_request)
             .map(|index| self.candidate(index, request, pause_policy))
             .collect()
     }
@@ -336,8 +343,13 @@
             && candidate.can_decode(PrefillShare::for_engines(split), pause_ms)
     }
 
+    /// Whether the engine may prefill a part for another one; one that limits its requests is spared.
     fn can_help(&self, candidate: &PlacementCandidate<'_>) -> bool {
-        candidate.endpoint.helped.len() < self.profile.slots
+        let is_limited = self
+            .rates
+            .rate(&candidate.endpoint.info.target.endpoint)
+            .is_some();
+        !is_limited && candidate.endpoint.helped.len() < self.profile.slots
     }
 
     /// The cheapest engines if the host alone holds the request's memory.
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -27,6 +27,8 @@
     Overloaded,
     /// The account exceeds its fair share of a congested queue.
     AccountLimit,
+    /// Every candidate endpoint limits its requests, and the limits are used up.
+    EndpointLimits,
     /// Every candidate endpoint is down, leaving or excluded.
     NoEndpoint,
     /// No endpoint has loaded the model yet.
@@ -51,7 +53,7 @@
 
 impl RefusalReason {
     /// Every reason, in the order of declaration.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::BadRequest,
         Self::BodyTooLarge,
         Self::HeadersTooLarge,
@@ -63,6 +65,7 @@
         Self::DeadlineTooShort,
         Self::Overloaded,
         Self::AccountLimit,
+        Self::EndpointLimits,
         Self::NoEndpoint,
         Self::ModelLoading,
         Self::RetryBudget,
@@ -90,6 +93,7 @@
             Self::DeadlineTooShort => "deadline_too_short",
             Self::Overloaded => "overloaded",
             Self::AccountLimit => "account_limit",
+            Self::EndpointLimits => "endpoint_limits",
             Self::NoEndpoint => "no_endpoint",
             Self::ModelLoading => "model_loading",
             Self::RetryBudget => "retry_budget",
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -51,6 +51,15 @@
     pub age: Millis,
 }
 
+/// Whether an endpoint may get a request.
+#[derives::tag]
+pub enum PermitDecision {
+    /// It may, and the request is counted.
+    Granted,
+    /// It may get one in this many milliseconds.
+    Wait(Millis),
+}
+
 /// Limit of one endpoint.
 #[derive(Debug, Clone)]
 struct EndpointLimit {
@@ -119,12 +128,12 @@
             return false;
         }
         if let Some(rate) = notice.rate {
-            // A slower pace holds from now on; a faster one does not make up for the past.
-            let earliest = u64_to_f64(now) + interval_ms(rate, self.share);
+            let interval = interval_ms(rate, self.share);
+            // The new pace counts from the last grant, so that changes add up to no extra grants
+            // and put none off for longer than one interval.
             limit.next_at = match limit.rate {
-                Some(former) if former > rate => limit.next_at.max(earliest),
-                Some(_) => limit.next_at.min(earliest),
-                None => earliest,
+                Some(former) => limit.next_at - interval_ms(former, self.share) + interval,
+                None => u64_to_f64(now) + interval,
             };
         }
         limit.rate = notice.rate;
@@ -164,6 +173,17 @@
         }
     }
 
+    /// Counts a request if the endpoint may get one now.
+    pub fn request_permit(&mut self, endpoint: &EndpointId, now: Millis) -> PermitDecision {
+        match self.wait_ms(endpoint, now) {
+            0 => {
+                self.take(endpoint, now);
+                PermitDecision::Granted
+            }
+            wait => PermitDecision::Wait(wait),
+        }
+    }
+
     /// Expected wait of a request behind `ahead` others for which only `endpoints`, all limited,
     /// are left, in milliseconds; zero if one of them has no limit.
     #[must_use]
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -11,6 +11,7 @@
 use jackdawpoint_policy::ids::{AccountId, DomainId, EndpointId, Millis, PoolId};
 use jackdawpoint_policy::outcome::{RefusalReason, RetryReason};
 use jackdawpoint_policy::poison::Fingerprint;
+use jackdawpoint_policy::rate_limit::{RateNotice, RequestRate};
 use jackdawpoint_policy::retry::BudgetLimits;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -648,3 +649,56 @@
     let uses = |target: &EndpointTarget| *target == helper;
     assert!(!uses(&again.host) && !again.helpers.iter().any(|helper| uses(&helper.target)));
 }
+
+fn limit(dispatcher: &mut Dispatcher, index: u8, per_second: f64, now: Millis) {
+    let notice = RateNotice {
+        endpoint: EndpointId::new(format!("engine-{index}")),
+        rate: RequestRate::new(per_second),
+        age: 0,
+    };
+    dispatcher.rates_mut().apply(&notice, now);
+}
+
+#[test]
+fn limits_of_all_engines_refuse_at_once_with_the_time_to_come_back() {
+    let mut dispatcher = dispatcher(2);
+    for index in 0..2 {
+        limit(&mut dispatcher, index, 0.5, 0);
+    }
+    match decide(&mut dispatcher, 1, short(), 10) {
+        Some(PlacementDecision::Refused(refusal)) => {
+            assert_eq!(refusal.reason, RefusalReason::EndpointLimits);
+            assert!((1_500..=2_000).contains(&refusal.retry_after));
+        }
+        other => panic!("unexpected decision {other:?}"),
+    }
+    grant(&mut dispatcher, 2, short(), 2_000);
+}
+
+#[test]
+fn unlimited_engines_take_what_a_limited_one_may_not() {
+    let mut dispatcher = dispatcher(2);
+    limit(&mut dispatcher, 1, 1.0, 0);
+    let mut limited = 0;
+    for number in 0..40 {
+        let now = number * 100;
+        let granted = grant(&mut dispatcher, number, short(), now);
+        limited += usize::from(granted.host.endpoint.as_str() == "engine-1");
+        dispatcher.finish(key(number), &RunReport::new(RunOutcome::Served), now + 50);
+    }
+    assert!(limited <= 4, "{limited}");
+}
+
+#[test]
+fn limited_engine_helps_no_other() {
+    let mut dispatcher = dispatcher(4);
+    limit(&mut dispatcher, 1, 5.0, 0);
+    let granted = grant(&mut dispatcher, 1, long(154_000), 0);
+    assert!(!granted.helpers.is_empty());
+    let names: Vec<&str> = granted
+        .helpers
+        .iter()
+        .map(|helper| helper.target.endpoint.as_str())
+        .collect();
+    assert!(!names.contains(&"engine-1"), "{names:?}");
+}
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -416,6 +416,11 @@
         Refusal::new(RefusalReason::Quarantined, request.time_left(now))
     }
 
+    /// Whether the endpoint has named a limit in an answer to this instance.
+    pub(crate) fn is_limited(&self, endpoint: &EndpointId) -> bool {
+        self.heard_limits.borrow().rate(endpoint).is_some()
+    }
+
     /// Records the limit that an endpoint names, or does not name, in its answer to a request that
     /// was sent at `sent_at`. Only the answer to a request that was sent after the limit was last
     /// heard of can end it.
@@ -425,9 +430,8 @@
         rate: Option<RequestRate>,
         sent_at: Millis,
     ) {
-        let now = self.now();
-        let mut limits = self.heard_limits.borrow_mut();
-        let is_news = match (rate, limits.heard_at(endpoint)) {
+        let known = self.heard_limits.borrow().heard_at(endpoint);
+        let is_news = match (rate, known) {
             (Some(_), _) => true,
             (None, Some(heard_at)) => sent_at > heard_at,
             (None, None) => false,
@@ -440,7 +444,8 @@
             rate,
             age: 0,
         };
-        if limits.apply(&notice, now) {
+        self.placement().report_limit(&notice);
+        if self.heard_limits.borrow_mut().apply(&notice, self.now()) {
             spdlog::info!("endpoint changed its limit", kv: {
                 endpoint = endpoint.as_str(),
                 per_second = rate.map_or(-1.0, RequestRate::per_second),
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -11,9 +11,10 @@
     EndpointInfo, InFlightRun, PlacementDecision, PlacementRequest, RunKey, RunReport,
 };
 use policy::dispatch::{DispatchLimits, Dispatcher};
-use policy::ids::PoolId;
+use policy::ids::{EndpointId, PoolId};
 use policy::outcome::{Refusal, RefusalReason};
 use policy::poison::Fingerprint;
+use policy::rate_limit::{PermitDecision, RateNotice};
 use tokio::sync::{Notify, oneshot};
 
 use crate::clock::BootClock;
@@ -40,6 +41,13 @@
     /// for each request.
     fn finish(&self, number: u64, report: RunReport);
 
+    /// Reports the limit that an endpoint names in its answers to this instance, to every dispatcher
+    /// that decides, or may decide, for this instance.
+    fn report_limit(&self, notice: &RateNotice);
+
+    /// Asks for permission to send a call to a limited endpoint of a plain service.
+    fn request_permit(&self, endpoint: &EndpointId) -> LocalBoxFuture<'static, PermitDecision>;
+
     /// Whether this instance is the one that may send a run of a request on probation.
     fn may_try(&self, fingerprint: Fingerprint) -> bool;
 
@@ -149,6 +157,39 @@
         self.dispatch();
     }
 
+    /// Applies what an instance heard of an endpoint's limit. Returns whether the limit changed.
+    pub fn apply_limit(&self, notice: &RateNotice) -> bool {
+        let now = self.clock.now();
+        let rates_changed = {
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            dispatcher.rates_mut().apply(notice, now)
+        };
+        if rates_changed {
+            self.dispatch();
+        }
+        rates_changed
+    }
+
+    /// Counts a call to a limited endpoint of a plain service if the endpoint may get one now.
+    pub fn request_permit(&self, endpoint: &EndpointId) -> PermitDecision {
+        let now = self.clock.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.rates_mut().request_permit(endpoint, now)
+    }
+
+    /// Limits that the dispatcher knows of.
+    #[must_use]
+    pub fn limit_notices(&self) -> Vec<RateNotice> {
+        let now = self.clock.now();
+        self.dispatcher.borrow().rates().notices(now)
+    }
+
+    /// Sets the number of instances that the dispatcher decides for, of all `instances`.
+    pub fn set_limit_share(&self, decided_for: usize, instances: usize) {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.rates_mut().set_share(decided_for, instances);
+    }
+
     /// Replaces the endpoints of a pool.
     pub fn set_endpoints(&self, pool: &PoolId, list: &[EndpointInfo]) {
         self.update(|dispatcher| dispatcher.set_endpoints(pool, list));
@@ -206,6 +247,14 @@
             .finish(RunKey::new(LOCAL_OWNER, number), &report);
     }
 
+    fn report_limit(&self, notice: &RateNotice) {
+        self.driver.apply_limit(notice);
+    }
+
+    fn request_permit(&self, endpoint: &EndpointId) -> LocalBoxFuture<'static, PermitDecision> {
+        std::future::ready(self.driver.request_permit(endpoint)).boxed_local()
+    }
+
     fn may_try(&self, _fingerprint: Fingerprint) -> bool {
         true
     }
--- a/crates/relay/src/placement_router.rs
+++ b/crates/relay/src/placement_router.rs
@@ -22,8 +22,9 @@
     PlacementScope, RunKey, RunOutcome, RunPhase, RunReport,
 };
 use policy::fleet::{FleetMember, FleetMembership};
-use policy::ids::{DomainId, InstanceId, Millis};
+use policy::ids::{DomainId, EndpointId, InstanceId, Millis};
 use policy::poison::Fingerprint;
+use policy::rate_limit::{PermitDecision, RateNotice, RequestRate};
 use tokio::sync::Notify;
 
 use crate::clock::BootClock;
@@ -264,6 +265,7 @@
         loop {
             self.expire_sessions();
             self.remove_expired_members();
+            self.update_limit_share();
             self.maintain_session(StewardScope::Fleet).await;
             let has_fleet_steward =
                 self.is_fleet_steward() || self.sessions.borrow().fleet.is_some();
@@ -394,6 +396,39 @@
         };
         *self.sessions.borrow_mut().slot(scope) = Some(Rc::new(session));
         self.reassign_runs(&in_flight, number);
+        let limits = self.driver.limit_notices().into_iter();
+        let updates: Vec<RunUpdate> = limits.map(RunUpdate::Limit).collect();
+        if !updates.is_empty() {
+            self.notify(number, &updates);
+        }
+    }
+
+    /// Tells the local dispatcher how many of the fleet's instances it decides for: this one and
+    /// those with a session.
+    fn update_limit_share(&self) {
+        let decided_for = 1 + self.member_sessions.borrow().len();
+        let instances = self.membership.borrow().len();
+        self.driver.set_limit_share(decided_for, instances);
+    }
+
+    /// The open sessions with stewards.
+    fn open_sessions(&self) -> Vec<Rc<StewardSession>> {
+        let sessions = self.sessions.borrow();
+        let slots = [&sessions.fleet, &sessions.domain];
+        let open = slots.into_iter().flatten();
+        open.filter(|session| session.link.is_open())
+            .cloned()
+            .collect()
+    }
+
+    async fn permit(self: Rc<Self>, endpoint: EndpointId) -> PermitDecision {
+        if let (Some(session), _) = self.current_dispatcher() {
+            let asked = session.link.request_permit(&endpoint);
+            if let Ok(Ok(decision)) = tokio::time::timeout(PING_TIMEOUT, asked).await {
+                return decision;
+            }
+        }
+        self.driver.request_permit(&endpoint)
     }
 
     /// Granted runs, for a dispatcher that starts to decide for this instance.
@@ -651,6 +686,7 @@
                 cause = cause,
             });
             self.driver.drop_owner(number);
+            self.update_limit_share();
         }
     }
 }
@@ -703,6 +739,18 @@
         }
     }
 
+    fn report_limit(&self, notice: &RateNotice) {
+        self.driver.apply_limit(notice);
+        let update = RunUpdate::Limit(notice.clone());
+        for session in self.open_sessions() {
+            session.link.report_runs(std::slice::from_ref(&update));
+        }
+    }
+
+    fn request_permit(&self, endpoint: &EndpointId) -> LocalBoxFuture<'static, PermitDecision> {
+        Rc::clone(self).permit(endpoint.clone()).boxed_local()
+    }
+
     fn may_try(&self, fingerprint: Fingerprint) -> bool {
         let membership = self.membership.borrow();
         let owner = membership.owner_of(fingerprint.0);
@@ -734,6 +782,7 @@
             last_heard_at: self.clock.now(),
         };
         self.member_sessions.borrow_mut().insert(number, session);
+        self.update_limit_share();
         for run in &in_flight {
             self.driver.adopt(number, run);
         }
@@ -754,6 +803,10 @@
             .request_placement(RunKey::new(session, number), request)
     }
 
+    fn request_permit(&self, endpoint: &EndpointId) -> PermitDecision {
+        self.driver.request_permit(endpoint)
+    }
+
     fn report_runs(&self, session: u64, updates: Vec<RunUpdate>) {
         for update in updates {
             match update {
@@ -763,6 +816,16 @@
                 RunUpdate::Finished(number, report) => {
                     self.driver.finish(RunKey::new(session, number), &report);
                 }
+                RunUpdate::Limit(notice) => {
+                    if self.driver.apply_limit(&notice) {
+                        spdlog::info!("limit learned from a member", kv: {
+                            endpoint = notice.endpoint.as_str(),
+                            per_second = notice.rate.map_or(-1.0, RequestRate::per_second),
+                            age = notice.age,
+                            session = session,
+                        });
+                    }
+                }
             }
         }
     }
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -7,8 +7,9 @@
 use ntex::http::StatusCode;
 use policy::catalog::RepeatRule;
 use policy::dispatch::placement::{EndpointTarget, RunOutcome};
-use policy::ids::Millis;
+use policy::ids::{EndpointId, Millis};
 use policy::outcome::{Refusal, RefusalReason, RetryReason, UnfinishedReason};
+use policy::rate_limit::PermitDecision;
 use transport::ExchangeError;
 
 use crate::answer::{RelayFailure, WholeAnswer, strip_connection_headers};
@@ -33,6 +34,9 @@
 /// Retry-after of a call that endpoints refused as overloaded, in milliseconds.
 const OVERLOADED_RETRY_AFTER: Millis = 300;
 
+/// Shortest retry-after of a call that the limits of all endpoints hold back, in milliseconds.
+const MIN_LIMIT_RETRY_AFTER: Millis = 300;
+
 /// Why an attempt failed.
 struct CallError {
     outcome: RunOutcome,
@@ -65,16 +69,19 @@
     core: Rc<RelayCore>,
     request: Rc<RelayRequest>,
     target: EndpointTarget,
-    sent_at: Millis,
+    /// When the call was sent; `None` until then.
+    sent_at: Cell<Option<Millis>>,
     outcome: Cell<RunOutcome>,
 }
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
         let service = &self.request.service;
-        if self.outcome.get() == RunOutcome::CallerLeft {
+        if let Some(sent_at) = self.sent_at.get()
+            && self.outcome.get() == RunOutcome::CallerLeft
+        {
             self.core
-                .run_abandoned(&self.request, &self.target.endpoint, self.sent_at);
+                .run_abandoned(&self.request, &self.target.endpoint, sent_at);
         }
         self.core
             .end_call(service, &self.target.endpoint, self.outcome.get());
@@ -99,17 +106,7 @@
         }
         core.admit_run(request)
             .map_err(|refusal| quarantine_failure(refusal, ran))?;
-        let Some(target) = core.start_call(&request.service, &excluded) else {
-            return Err(no_endpoint_failure(ran));
-        };
-        excluded.push(target.endpoint.clone());
-        let guard = CallGuard {
-            core: Rc::clone(core),
-            request: Rc::clone(request),
-            target,
-            sent_at: core.now(),
-            outcome: Cell::new(RunOutcome::CallerLeft),
-        };
+        let guard = start_call(core, request, &mut excluded, ran).await?;
         let error = match try_call(core, request, &guard).await {
             Ok(answer) => {
                 core.run_served(request);
@@ -135,6 +132,45 @@
     Err(no_endpoint_failure(ran))
 }
 
+/// Picks an endpoint that may get the call now. An endpoint whose limit is used up is passed over
+/// for the rest of the request.
+async fn start_call(
+    core: &Rc<RelayCore>,
+    request: &Rc<RelayRequest>,
+    excluded: &mut Vec<EndpointId>,
+    ran: MayHaveRun,
+) -> Result<CallGuard, RelayFailure> {
+    let mut shortest_wait: Option<Millis> = None;
+    loop {
+        let Some(target) = core.start_call(&request.service, excluded) else {
+            return Err(match (shortest_wait, ran) {
+                (Some(wait), MayHaveRun::No) => {
+                    let retry_after = wait.max(MIN_LIMIT_RETRY_AFTER);
+                    RelayFailure::not_run(RefusalReason::EndpointLimits, retry_after)
+                }
+                _ => no_endpoint_failure(ran),
+            });
+        };
+        excluded.push(target.endpoint.clone());
+        let guard = CallGuard {
+            core: Rc::clone(core),
+            request: Rc::clone(request),
+            target,
+            sent_at: Cell::new(None),
+            outcome: Cell::new(RunOutcome::CallerLeft),
+        };
+        if core.is_limited(&guard.target.endpoint) {
+            let permit = core.placement().request_permit(&guard.target.endpoint);
+            if let PermitDecision::Wait(wait) = permit.await {
+                shortest_wait = Some(shortest_wait.map_or(wait, |shortest| shortest.min(wait)));
+                continue;
+            }
+        }
+        guard.sent_at.set(Some(core.now()));
+        return Ok(guard);
+    }
+}
+
 fn may_repeat(
     core: &RelayCore,
     request: &RelayRequest,
@@ -262,7 +298,8 @@
     let head = core.dialect().read_answer(&answer.headers);
     let matches_request = head.request_id.as_deref() == Some(request.head.request_id.as_str());
     if matches_request && answer.status != StatusCode::MISDIRECTED_REQUEST {
-        core.heard_limit(&guard.target.endpoint, head.rate_limit, guard.sent_at);
+        let sent_at = guard.sent_at.get().unwrap_or(0);
+        core.heard_limit(&guard.target.endpoint, head.rate_limit, sent_at);
     }
     if head.statement == RunStatement::NotRun && !answer.status.is_success() {
         return Err(CallError::new(
