Soak: endpoints that name limits, and a check that they are kept

Change: three limits of 0 to 5 requests a second in each run, drawn from numbers of their own so that the other faults of a seed stay as they are, overlapping with them. At the end an engine and a plain endpoint name 1.5 a second while callers of all daemons press; from 3 s later they may get 14 requests in 4 s. The checks after the faults have a file of their own.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,8 @@
 //! One run of the soak: a phase with faults, then one without, both under load from callers, and
 //! checks at the end.
 
+mod final_checks;
+
 use std::cell::{Cell, RefCell};
 use std::net::Ipv4Addr;
 use std::path::Path;
@@ -18,7 +20,7 @@
 use rand::seq::IndexedRandom;
 
 use crate::caller::{CRASHING_BODY, CallKind, CallOutcome, CallRecord, SoakCaller};
-use crate::check::{DRAIN_TIME, Violation, check_calls};
+use crate::check::{Violation, check_calls};
 use crate::daemon::{DaemonSignal, SoakDaemon};
 use crate::proxy::{FaultProxy, ProxyMode};
 use crate::schedule::{FaultTime, SoakFault, SoakSize, draw_schedule};
@@ -40,31 +42,9 @@
 /// start within the same time.
 const RECOVERY_TIME: Duration = Duration::from_secs(6);
 
-/// Time within which every daemon must apply a configuration change, including the time that
-/// querying all daemons takes.
-const CONFIG_APPLY_TIME: Duration = Duration::from_millis(2_200);
-
-/// Time after the last call within which all reserved memory must be released.
-const MEMORY_RELEASE_TIME: Duration = Duration::from_secs(4);
-
 /// Interval of the calls that crash endpoints, and time for which a crashed endpoint is missing.
 const CRASH_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Number of crashes after which a call must not be sent on.
-const CRASH_THRESHOLD: usize = 3;
-
-/// Time after the last of these crashes from which sends count.
-const CRASH_SETTLING_TIME: Duration = Duration::from_secs(3);
-
-/// Largest number of sends that count.
-const MAX_SENDS_AFTER_CRASHES: usize = 3;
-
-/// Number of crashing calls to each daemon in the final check.
-const FINAL_CRASHING_CALLS: usize = 3;
-
-/// Number of calls of each kind to each daemon in the final check.
-const FINAL_CALLS_PER_KIND: usize = 5;
-
 /// Result of a run.
 #[derive(Debug)]
 pub struct SoakReport {
@@ -135,6 +115,7 @@
     join_all(callers).await;
     crashing.await?;
     environment.check_crashing_calls(&mut violations).await;
+    environment.check_limits(&mut violations).await;
     restarting.abort();
     environment.check_after_recovery(&mut violations).await;
     let runs = environment.runs();
@@ -267,42 +248,6 @@
         self.endpoints.iter().map(WorkerStandin::crashes).sum()
     }
 
-    /// Checks that a call that has crashed several endpoints is not sent on.
-    async fn check_crashing_calls(&self, violations: &mut Vec<Violation>) {
-        let addresses = self.caller_addresses();
-        let mut callers = Vec::new();
-        for (daemon, address) in addresses.into_iter().enumerate() {
-            callers.push(SoakCaller::new(daemon, address).await);
-        }
-        for caller in callers.iter().cycle().take(2 * CRASH_THRESHOLD) {
-            if self.crashes() >= CRASH_THRESHOLD {
-                break;
-            }
-            self.call(caller, self.crashing_kind, "key-0").await;
-            tokio::time::sleep(2 * CRASH_INTERVAL).await;
-        }
-        tokio::time::sleep(CRASH_SETTLING_TIME).await;
-        let before = self.crashes();
-        for caller in callers
-            .iter()
-            .cycle()
-            .take(callers.len() * FINAL_CRASHING_CALLS)
-        {
-            self.call(caller, self.crashing_kind, "key-0").await;
-        }
-        // The silent calls of this check are attributed, and their endpoints back, before others.
-        tokio::time::sleep(2 * CRASH_INTERVAL).await;
-        let sends = self.crashes() - before;
-        if before >= CRASH_THRESHOLD && sends > MAX_SENDS_AFTER_CRASHES {
-            let kind = self.crashing_kind;
-            let observed = format!("{kind:?}: sent {sends} times after {before} crashes");
-            violations.push(Violation::new(
-                "a call that has crashed three endpoints is not sent on",
-                observed,
-            ));
-        }
-    }
-
     /// Publishes the next version of the configuration, whose newest API key is `key-VERSION`.
     fn publish_config(&self) {
         let version = self.version.get() + 1;
@@ -396,6 +341,11 @@
                 self.register(endpoint, "ready");
             }
             SoakFault::Configure => self.publish_config(),
+            SoakFault::Limit(endpoint, per_second) => {
+                self.endpoints[endpoint].set_rate_limit(Some(per_second.into()));
+                tokio::time::sleep(length).await;
+                self.endpoints[endpoint].set_rate_limit(None);
+            }
         }
     }
 
@@ -431,48 +381,6 @@
         true
     }
 
-    /// Checks the invariants that must hold once no fault has been injected for `RECOVERY_TIME`:
-    /// all calls are served, with the newest configuration; draining endpoints get no new runs; and
-    /// no memory stays reserved.
-    async fn check_after_recovery(&self, violations: &mut Vec<Violation>) {
-        self.publish_config();
-        let draining_endpoint = 0;
-        self.register(draining_endpoint, "draining");
-        tokio::time::sleep(CONFIG_APPLY_TIME.max(DRAIN_TIME)).await;
-        let before = self.endpoints[draining_endpoint].runs().len();
-        let key = format!("key-{}", self.version.get());
-        let addresses = self.caller_addresses();
-        for (daemon, address) in addresses.into_iter().enumerate() {
-            let caller = SoakCaller::new(daemon, address).await;
-            for kind in CallKind::ALL {
-                for _ in 0..FINAL_CALLS_PER_KIND {
-                    let outcome = self.call(&caller, kind, &key).await;
-                    if !matches!(outcome, CallOutcome::Response(StatusCode::OK, _)) {
-                        let observed = format!("call {kind:?} to daemon {daemon}: {outcome:?}");
-                        violations.push(Violation::new(
-                            "all calls are served after the faults have ended",
-                            observed,
-                        ));
-                    }
-                }
-            }
-        }
-        let after = self.endpoints[draining_endpoint].runs().len();
-        if after > before {
-            let observed = format!("{} new runs", after - before);
-            violations.push(Violation::new(
-                "a draining endpoint gets no new runs",
-                observed,
-            ));
-        }
-        tokio::time::sleep(MEMORY_RELEASE_TIME).await;
-        for endpoint in &self.endpoints {
-            for id in endpoint.reserved() {
-                violations.push(Violation::new("engine memory is released", id));
-            }
-        }
-    }
-
     fn runs(&self) -> Vec<RunRecord> {
         let endpoints = self.endpoints.iter();
         endpoints.flat_map(WorkerStandin::runs).collect()
--- /dev/null
+++ b/crates/soak/src/run/final_checks.rs
@@ -0,0 +1,171 @@
+//! Checks after the faults of a run have ended.
+
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use ntex::http::StatusCode;
+
+use super::{CRASH_INTERVAL, SoakEnvironment};
+use crate::caller::{CallKind, CallOutcome, SoakCaller};
+use crate::check::{DRAIN_TIME, Violation};
+
+/// Time within which every daemon must apply a configuration change, including the time that
+/// querying all daemons takes.
+const CONFIG_APPLY_TIME: Duration = Duration::from_millis(2_200);
+
+/// Time after the last call within which all reserved memory must be released.
+const MEMORY_RELEASE_TIME: Duration = Duration::from_secs(4);
+
+/// Number of crashes after which a call must not be sent on.
+const CRASH_THRESHOLD: usize = 3;
+
+/// Time after the last of these crashes from which sends count.
+const CRASH_SETTLING_TIME: Duration = Duration::from_secs(3);
+
+/// Largest number of sends that count.
+const MAX_SENDS_AFTER_CRASHES: usize = 3;
+
+/// Number of crashing calls to each daemon in the final check.
+const FINAL_CRASHING_CALLS: usize = 3;
+
+/// Number of calls of each kind to each daemon in the final check.
+const FINAL_CALLS_PER_KIND: usize = 5;
+
+/// Limit that two endpoints name in the final check, in requests a second.
+const FINAL_LIMIT: f64 = 1.5;
+
+/// Time after an endpoint first named its limit from which requests count.
+const LIMIT_SETTLING_TIME: Duration = Duration::from_secs(3);
+
+/// Window in which requests count.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Largest number of requests in a window: one and a half times the limit, and five.
+const MAX_REQUESTS_IN_WINDOW: usize = 14;
+
+/// Time that a caller waits between two calls to limited endpoints.
+const LIMITED_CALL_INTERVAL: Duration = Duration::from_millis(80);
+
+impl SoakEnvironment {
+    /// Checks that a call that has crashed several endpoints is not sent on.
+    pub(super) async fn check_crashing_calls(&self, violations: &mut Vec<Violation>) {
+        let addresses = self.caller_addresses();
+        let mut callers = Vec::new();
+        for (daemon, address) in addresses.into_iter().enumerate() {
+            callers.push(SoakCaller::new(daemon, address).await);
+        }
+        for caller in callers.iter().cycle().take(2 * CRASH_THRESHOLD) {
+            if self.crashes() >= CRASH_THRESHOLD {
+                break;
+            }
+            self.call(caller, self.crashing_kind, "key-0").await;
+            tokio::time::sleep(2 * CRASH_INTERVAL).await;
+        }
+        tokio::time::sleep(CRASH_SETTLING_TIME).await;
+        let before = self.crashes();
+        for caller in callers
+            .iter()
+            .cycle()
+            .take(callers.len() * FINAL_CRASHING_CALLS)
+        {
+            self.call(caller, self.crashing_kind, "key-0").await;
+        }
+        // The silent calls of this check are attributed, and their endpoints back, before others.
+        tokio::time::sleep(2 * CRASH_INTERVAL).await;
+        let sends = self.crashes() - before;
+        if before >= CRASH_THRESHOLD && sends > MAX_SENDS_AFTER_CRASHES {
+            let kind = self.crashing_kind;
+            let observed = format!("{kind:?}: sent {sends} times after {before} crashes");
+            violations.push(Violation::new(
+                "a call that has crashed three endpoints is not sent on",
+                observed,
+            ));
+        }
+    }
+
+    /// Checks that an engine and an endpoint of the plain service that name a limit get no more
+    /// requests than that, from all daemons together.
+    pub(super) async fn check_limits(&self, violations: &mut Vec<Violation>) {
+        let limited = [0, self.endpoints.len() - 1];
+        for index in limited {
+            self.endpoints[index].set_rate_limit(Some(FINAL_LIMIT));
+        }
+        let named_at = Instant::now();
+        let addresses = self.caller_addresses();
+        let callers = addresses
+            .into_iter()
+            .enumerate()
+            .map(|(daemon, address)| async move {
+                let caller = SoakCaller::new(daemon, address).await;
+                let kinds = [CallKind::Question, CallKind::Status];
+                for kind in kinds.into_iter().cycle() {
+                    if named_at.elapsed() >= LIMIT_SETTLING_TIME + LIMIT_WINDOW {
+                        return;
+                    }
+                    self.call(&caller, kind, "key-0").await;
+                    tokio::time::sleep(LIMITED_CALL_INTERVAL).await;
+                }
+            });
+        join_all(callers).await;
+        for index in limited {
+            let mut arrivals = self.endpoints[index].arrivals();
+            let from = named_at + LIMIT_SETTLING_TIME;
+            arrivals.retain(|at| (from..from + LIMIT_WINDOW).contains(at));
+            if arrivals.len() > MAX_REQUESTS_IN_WINDOW {
+                let observed = format!(
+                    "endpoint {index}, limit {FINAL_LIMIT}: {} requests",
+                    arrivals.len()
+                );
+                violations.push(Violation::new(
+                    "an endpoint gets no more requests than its limit",
+                    observed,
+                ));
+            }
+            self.endpoints[index].set_rate_limit(None);
+        }
+        // The next answer of each endpoint ends its limit.
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+
+    /// Checks the invariants that must hold once no fault has been injected for `RECOVERY_TIME`:
+    /// all calls are served, with the newest configuration; draining endpoints get no new runs; and
+    /// no memory stays reserved.
+    pub(super) async fn check_after_recovery(&self, violations: &mut Vec<Violation>) {
+        self.publish_config();
+        let draining_endpoint = 0;
+        self.register(draining_endpoint, "draining");
+        tokio::time::sleep(CONFIG_APPLY_TIME.max(DRAIN_TIME)).await;
+        let before = self.endpoints[draining_endpoint].runs().len();
+        let key = format!("key-{}", self.version.get());
+        let addresses = self.caller_addresses();
+        for (daemon, address) in addresses.into_iter().enumerate() {
+            let caller = SoakCaller::new(daemon, address).await;
+            for kind in CallKind::ALL {
+                for _ in 0..FINAL_CALLS_PER_KIND {
+                    let outcome = self.call(&caller, kind, &key).await;
+                    if !matches!(outcome, CallOutcome::Response(StatusCode::OK, _)) {
+                        let observed = format!("call {kind:?} to daemon {daemon}: {outcome:?}");
+                        violations.push(Violation::new(
+                            "all calls are served after the faults have ended",
+                            observed,
+                        ));
+                    }
+                }
+            }
+        }
+        let after = self.endpoints[draining_endpoint].runs().len();
+        if after > before {
+            let observed = format!("{} new runs", after - before);
+            violations.push(Violation::new(
+                "a draining endpoint gets no new runs",
+                observed,
+            ));
+        }
+        tokio::time::sleep(MEMORY_RELEASE_TIME).await;
+        for endpoint in &self.endpoints {
+            for id in endpoint.reserved() {
+                violations.push(Violation::new("engine memory is released", id));
+            }
+        }
+    }
+}
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -16,6 +16,12 @@
 /// Shortest and longest duration of a fault, in milliseconds.
 const FAULT_DURATION_MS: (u64, u64) = (200, 3_000);
 
+/// Number of limits that endpoints name in a run.
+const LIMIT_COUNT: usize = 3;
+
+/// Longest duration of a limit, in milliseconds.
+const LONGEST_LIMIT_MS: u64 = 6_000;
+
 /// Size of the system under test.
 #[derives::value]
 pub struct SoakSize {
@@ -53,6 +59,8 @@
     Leave(usize),
     /// A new version of the configuration is published.
     Configure,
+    /// An endpoint names a limit, in requests a second.
+    Limit(usize, u32),
 }
 
 /// A fault with its begin and end, in milliseconds since the schedule started.
@@ -81,10 +89,28 @@
             }
         })
         .collect();
+    times.extend(draw_limits(seed, size));
     times.sort_by_key(|time| time.from);
     times
 }
 
+/// Draws endpoints that name a limit, from numbers of their own, so that the other faults of a seed
+/// stay as they are.
+fn draw_limits(seed: u64, size: &SoakSize) -> Vec<FaultTime> {
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    (0..LIMIT_COUNT)
+        .map(|_| {
+            let endpoint = rng.random_range(0..size.engines + size.service_endpoints);
+            let from = rng.random_range(0..FAULT_WINDOW_MS);
+            FaultTime {
+                fault: SoakFault::Limit(endpoint, rng.random_range(0..6)),
+                from,
+                until: from + rng.random_range(FAULT_DURATION_MS.0..LONGEST_LIMIT_MS),
+            }
+        })
+        .collect()
+}
+
 fn draw_fault(rng: &mut SmallRng, size: &SoakSize) -> SoakFault {
     let daemon = rng.random_range(0..size.daemons);
     let endpoint = rng.random_range(0..size.engines + size.service_endpoints);
