Decide requests anew that are queued at a steward which fell silent

Callers saw: requests that waited at a steward when it froze went on waiting until it woke or their deadline passed, though their instance had the next steward within half a second. Cause: the wait for the decision keeps the session's connection open, and a silent peer closes nothing. Class: a wait that does not hear of the loss that its own side has already noticed. Ruled out: a time limit on the decision, since a queue may be longer than any. Change: the end of a session ends the waits for its decisions; each request is tried with the next session, or decided locally, as after a closed connection. Before: requests_queued_at_a_steward_that_falls_silent_are_decided_without_it failed ('the request waits for the silent steward'). After: passes; tests of the relay pass. Two tests of the limits between instances come along: a limit holds at the steward and at its successor, and dispatchers divide it by the instances that they decide for (both passed on their first run).

--- a/crates/relay/src/placement_router.rs
+++ b/crates/relay/src/placement_router.rs
@@ -92,6 +92,23 @@
     link: StewardLink,
     pinged_at: Cell<Millis>,
     is_pinging: Cell<bool>,
+    is_lost: Cell<bool>,
+    lost: Notify,
+}
+
+impl StewardSession {
+    /// Ends the wait for decisions of a steward that counts as lost.
+    fn mark_lost(&self) {
+        self.is_lost.set(true);
+        self.lost.notify_waiters();
+    }
+
+    /// Returns once the steward counts as lost.
+    async fn wait_until_lost(&self) {
+        if !self.is_lost.get() {
+            self.lost.notified().await;
+        }
+    }
 }
 
 /// Instances that a steward decides for.
@@ -393,6 +410,8 @@
             link,
             pinged_at: Cell::new(now),
             is_pinging: Cell::new(false),
+            is_lost: Cell::new(false),
+            lost: Notify::new(),
         };
         *self.sessions.borrow_mut().slot(scope) = Some(Rc::new(session));
         self.reassign_runs(&in_flight, number);
@@ -515,6 +534,7 @@
         };
         self.steward_losses.set(self.steward_losses.get() + 1);
         spdlog::warn!("steward lost", kv: { steward = lost.steward.as_str(), cause = cause });
+        lost.mark_lost();
         self.mark_runs_lost(number);
         self.mark_ineligible(&lost.steward);
     }
@@ -599,12 +619,17 @@
             request.waited = waited + elapsed;
             request.time_left = time_left.saturating_sub(elapsed);
             self.track_run(number, &request, RunDispatcher::Session(session.number));
-            match session.link.request_placement(number, &request).await {
-                Ok(decision) => {
+            let decided = tokio::select! {
+                decided = session.link.request_placement(number, &request) => decided.ok(),
+                // A connection to a silent steward stays open, so that no answer ends the wait.
+                () = session.wait_until_lost() => None,
+            };
+            match decided {
+                Some(decision) => {
                     self.record_decision(number, &decision);
                     return decision;
                 }
-                Err(_) => self.end_steward_session(session.number, "unanswered"),
+                None => self.end_steward_session(session.number, "unanswered"),
             }
         }
         request.scope = self.current_dispatcher().1;
--- a/crates/relay/tests/placement_router.rs
+++ b/crates/relay/tests/placement_router.rs
@@ -1,5 +1,6 @@
 //! Placement across several instances that are connected over loopback.
 
+use std::cell::Cell;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,7 +17,10 @@
 use policy::fleet::FleetMember;
 use policy::ids::{AccountId, DomainId, EndpointId, Incarnation, InstanceId, PoolId};
 use policy::poison::Fingerprint;
-use tokio::net::TcpListener;
+use policy::rate_limit::{PermitDecision, RateNotice, RequestRate};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
 fn pool() -> PoolId {
@@ -454,3 +458,139 @@
         })
         .await;
 }
+
+/// A network path to an instance that can fall silent without closing its connections.
+struct SilentPath {
+    address: SocketAddr,
+    is_silent: Rc<Cell<bool>>,
+}
+
+impl SilentPath {
+    async fn new(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+            .await
+            .expect("a free port");
+        let address = listener.local_addr().expect("the listener is bound");
+        let is_silent = Rc::new(Cell::new(false));
+        let silent = Rc::clone(&is_silent);
+        tokio::task::spawn_local(async move {
+            while let Ok((caller, _)) = listener.accept().await {
+                let Ok(instance) = TcpStream::connect(target).await else {
+                    continue;
+                };
+                let (from_caller, to_caller) = caller.into_split();
+                let (from_instance, to_instance) = instance.into_split();
+                let forward = Self::copy(from_caller, to_instance, Rc::clone(&silent));
+                tokio::task::spawn_local(forward);
+                let back = Self::copy(from_instance, to_caller, Rc::clone(&silent));
+                tokio::task::spawn_local(back);
+            }
+        });
+        Self { address, is_silent }
+    }
+
+    async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, is_silent: Rc<Cell<bool>>) {
+        let mut buffer = [0; 4_096];
+        while let Ok(length) = from.read(&mut buffer).await {
+            if is_silent.get() {
+                std::future::pending::<()>().await;
+            }
+            if length == 0 || to.write_all(&buffer[..length]).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn requests_queued_at_a_steward_that_falls_silent_are_decided_without_it() {
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            let mut first = TestInstance::new("first", "x", 1.0).await;
+            let second = TestInstance::new("second", "x", 0.5).await;
+            let path = SilentPath::new(first.address).await;
+            first.address = path.address;
+            for instance in [&first, &second] {
+                instance.add_members(&[&first, &second]);
+            }
+            wait_for_sessions().await;
+            for number in 1..=4 {
+                let granted = second.request(number).await;
+                assert!(matches!(granted, PlacementDecision::Granted(_)));
+            }
+            let queued = Rc::clone(&second.router).request_placement(5, placement_request());
+            path.is_silent.set(true);
+            let deadline = Duration::from_millis(placement_request().time_left);
+            let decided = tokio::time::timeout(deadline, queued).await;
+            assert!(decided.is_ok(), "the request waits for the silent steward");
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn limit_heard_by_a_member_holds_at_its_steward_and_at_the_successor() {
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            let first = TestInstance::new("first", "x", 1.0).await;
+            let second = TestInstance::new("second", "x", 0.8).await;
+            let third = TestInstance::new("third", "x", 0.5).await;
+            let all = [&first, &second, &third];
+            for instance in all {
+                instance.add_members(&all);
+            }
+            wait_for_sessions().await;
+            let limited = EndpointId::new("one");
+            third.router.report_limit(&RateNotice {
+                endpoint: limited.clone(),
+                rate: RequestRate::new(0.5),
+                age: 0,
+            });
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            assert_eq!(first.driver.limit_notices().len(), 1);
+            let asked = third.router.request_permit(&limited).await;
+            assert!(matches!(asked, PermitDecision::Wait(_)), "{asked:?}");
+            assert!(second.driver.limit_notices().is_empty());
+            first.router.resign();
+            for instance in [&second, &third] {
+                instance.router.remove_member(&InstanceId::new("first"));
+            }
+            // The sessions with the first end at the next ping.
+            tokio::time::sleep(Duration::from_millis(2_500)).await;
+            let known = second.driver.limit_notices();
+            let rates: Vec<_> = known.iter().map(|notice| notice.rate).collect();
+            assert_eq!(rates, [RequestRate::new(0.5)]);
+            assert!(known[0].age >= 2_000, "{known:?}");
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn dispatchers_divide_a_limit_by_the_instances_that_they_decide_for() {
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            let first = TestInstance::new("first", "x", 1.0).await;
+            let second = TestInstance::new("second", "x", 0.8).await;
+            let alone = TestInstance::new("alone", "y", 0.5).await;
+            let all = [&first, &second, &alone];
+            for instance in [&first, &second] {
+                instance.add_members(&all);
+            }
+            // The third is listed, but reaches nobody.
+            alone.add_members(&[&alone]);
+            alone.listening.abort();
+            wait_for_sessions().await;
+            let limited = EndpointId::new("one");
+            let notice = RateNotice {
+                endpoint: limited.clone(),
+                rate: RequestRate::new(1.0),
+                age: 0,
+            };
+            first.router.report_limit(&notice);
+            let PermitDecision::Wait(wait) = first.driver.request_permit(&limited) else {
+                panic!("the first grant comes after an interval");
+            };
+            // Two of three instances: two thirds of a request a second.
+            assert!((1_400..=1_500).contains(&wait), "{wait}");
+        })
+        .await;
+}
