Send nothing to an endpoint that says in its answers that it leaves

Cause: an endpoint's leaving was known from its entry in the store only. Ruled out: marking it in the dispatcher alone, since an instance must keep to what it heard also while its steward does not know. Change: the adapter reads the header in whole, streamed and refused answers. Another start under the same id (born) is open again. The soak lets an engine say so at the end of each run.

--- a/crates/peer-schema/schema/dispatch.capnp
+++ b/crates/peer-schema/schema/dispatch.capnp
@@ -79,6 +79,8 @@
       # Milliseconds since the endpoint said so.
       age @7 :UInt64;
     }
+    # Id of an endpoint that says in its answers that it leaves; `ask` is not used.
+    leaving @8 :Text;
   }
 }
 
--- a/crates/peer-schema/src/dispatch_capnp.rs
+++ b/crates/peer-schema/src/dispatch_capnp.rs
@@ -2980,7 +2980,7 @@
 }
 
 pub mod note {
-    pub use self::Which::{Finished, FirstEvent, Limit};
+    pub use self::Which::{Finished, FirstEvent, Leaving, Limit};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -3089,11 +3089,24 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
+        pub fn has_leaving(&self) -> bool {
+            if self.reader.get_data_field::<u16>(4) != 3 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(4) {
                 0 => ::core::result::Result::Ok(FirstEvent(())),
                 1 => ::core::result::Result::Ok(Finished(self.reader.into())),
                 2 => ::core::result::Result::Ok(Limit(self.reader.into())),
+                3 => ::core::result::Result::Ok(Leaving(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -3217,11 +3230,42 @@
             self.builder.into()
         }
         #[inline]
+        pub fn set_leaving(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            self.builder.set_data_field::<u16>(4, 3);
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_leaving(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.set_data_field::<u16>(4, 3);
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_leaving(&self) -> bool {
+            if self.builder.get_data_field::<u16>(4) != 3 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(4) {
                 0 => ::core::result::Result::Ok(FirstEvent(())),
                 1 => ::core::result::Result::Ok(Finished(self.builder.into())),
                 2 => ::core::result::Result::Ok(Limit(self.builder.into())),
+                3 => ::core::result::Result::Ok(Leaving(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -3239,52 +3283,59 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(18, 153, 89, 101, 153, 117, 188, 139),
             ::capnp::word(15, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(99, 240, 168, 82, 76, 157, 225, 183),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 4, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(100, 105, 115, 112, 97, 116, 99, 104),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 78),
             ::capnp::word(111, 116, 101, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(240, 0, 248, 193, 27, 224, 154, 252),
-            ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(201, 50, 59, 164, 72, 55, 158, 173),
-            ::capnp::word(89, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 252, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(93, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 115, 107, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3305,6 +3356,14 @@
             ::capnp::word(102, 105, 110, 105, 115, 104, 101, 100),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 105, 109, 105, 116, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3312,6 +3371,7 @@
                 1 => <() as ::capnp::introspect::Introspect>::introspect(),
                 2 => <crate::dispatch_capnp::note::finished::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <crate::dispatch_capnp::note::limit::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3331,22 +3391,25 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[1, 2, 3];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1, 3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[1, 2, 3, 4];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1, 4, 3];
         pub(crate) const TYPE_ID: u64 = 0x8bbc_7599_6559_9912;
     }
-    pub enum Which<A0, A1> {
+    pub enum Which<A0, A1, A2> {
         FirstEvent(()),
         Finished(A0),
         Limit(A1),
+        Leaving(A2),
     }
     pub type WhichReader<'a> = Which<
         crate::dispatch_capnp::note::finished::Reader<'a>,
         crate::dispatch_capnp::note::limit::Reader<'a>,
+        ::capnp::Result<::capnp::text::Reader<'a>>,
     >;
     pub type WhichBuilder<'a> = Which<
         crate::dispatch_capnp::note::finished::Builder<'a>,
         crate::dispatch_capnp::note::limit::Builder<'a>,
+        ::capnp::Result<::capnp::text::Builder<'a>>,
     >;
 
     pub mod finished {
--- a/crates/peer/src/dispatch_message.rs
+++ b/crates/peer/src/dispatch_message.rs
@@ -25,6 +25,8 @@
     Finished(u64, RunReport),
     /// An endpoint has named a limit on its requests, or no longer names one.
     Limit(RateNotice),
+    /// An endpoint says in its answers that it leaves.
+    Leaving(EndpointId),
 }
 
 pub(crate) fn write_placement_request(
@@ -185,6 +187,7 @@
             limit.set_rate(notice.rate.map_or(0.0, RequestRate::per_second));
             limit.set_age(notice.age);
         }
+        RunUpdate::Leaving(endpoint) => builder.set_leaving(endpoint.as_str()),
     }
 }
 
@@ -212,6 +215,9 @@
             },
             age: limit.get_age(),
         })),
+        schema::note::Leaving(endpoint) => {
+            Ok(RunUpdate::Leaving(EndpointId::new(endpoint?.to_str()?)))
+        }
     }
 }
 
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -25,6 +25,7 @@
 use crate::dialect::WireDialect;
 use crate::endpoint_view::{EndpointView, ViewChange};
 use crate::placement::{DispatcherDriver, PlacementClient};
+use crate::placement_router::EndpointListener;
 use crate::request::RelayRequest;
 use crate::reservation::MemoryClient;
 
@@ -100,6 +101,12 @@
     counters: RelayCounters,
 }
 
+impl EndpointListener for RelayCore {
+    fn endpoint_leaves(&self, endpoint: &EndpointId) {
+        self.mark_leaving(endpoint, "member");
+    }
+}
+
 impl RelayCore {
     /// Creates a relay without a configuration, in [`RelayPhase::Starting`].
     #[must_use]
@@ -416,6 +423,29 @@
         Refusal::new(RefusalReason::Quarantined, request.time_left(now))
     }
 
+    /// Records that an endpoint has said in an answer to this instance that it leaves, and tells the
+    /// stewards.
+    pub(crate) fn heard_leaving(&self, endpoint: &EndpointId) {
+        if self.mark_leaving(endpoint, "answer") == ViewChange::Changed {
+            self.placement().report_leaving(endpoint);
+        }
+    }
+
+    fn mark_leaving(&self, endpoint: &EndpointId, heard_from: &str) -> ViewChange {
+        let mut change = ViewChange::Same;
+        self.update_endpoints(|view, _| {
+            change = view.mark_leaving(endpoint);
+            change
+        });
+        if change == ViewChange::Changed {
+            spdlog::info!("endpoint says that it leaves", kv: {
+                endpoint = endpoint.as_str(),
+                heard_from = heard_from,
+            });
+        }
+        change
+    }
+
     /// Whether the endpoint has named a limit in an answer to this instance.
     pub(crate) fn is_limited(&self, endpoint: &EndpointId) -> bool {
         self.heard_limits.borrow().rate(endpoint).is_some()
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -78,6 +78,17 @@
     /// Requests a second that the endpoint accepts from all instances together; `None` if it names
     /// no limit.
     pub rate_limit: Option<RequestRate>,
+    /// Whether the endpoint accepts no new requests because it leaves.
+    pub leaving: LeavingStatement,
+}
+
+/// Whether an endpoint says in an answer that it leaves.
+#[derives::tag]
+pub enum LeavingStatement {
+    /// It accepts no new requests.
+    Leaving,
+    /// It says nothing of the kind.
+    Unstated,
 }
 
 /// Whether an answer carries an endpoint's signature.
--- a/crates/relay/src/endpoint_view.rs
+++ b/crates/relay/src/endpoint_view.rs
@@ -20,6 +20,19 @@
     info: EndpointInfo,
     /// When the endpoint is removed because its entry is missing; `None` while it is listed.
     missing_until: Option<Millis>,
+    /// When the endpoint's process started, on its own clock; `None` if the entry does not say so.
+    started_at: Option<u64>,
+    /// Whether the endpoint has said in an answer that it leaves.
+    says_leaving: bool,
+}
+
+impl KnownEndpoint {
+    fn state(&self) -> EndpointState {
+        if self.says_leaving {
+            return EndpointState::Leaving;
+        }
+        self.info.state
+    }
 }
 
 /// Removal of an endpoint.
@@ -62,16 +75,38 @@
 
     /// Adds an endpoint or replaces its entry.
     pub fn put(&mut self, pool: PoolId, info: EndpointInfo) -> ViewChange {
+        self.put_started(pool, info, None)
+    }
+
+    /// Adds an endpoint whose process started at `started_at`, on its own clock, or replaces its
+    /// entry. What the endpoint has said in answers holds until an entry names another start.
+    pub fn put_started(
+        &mut self,
+        pool: PoolId,
+        info: EndpointInfo,
+        started_at: Option<u64>,
+    ) -> ViewChange {
         let endpoint = info.target.endpoint.clone();
         self.departed.remove(&endpoint);
+        let known = self.endpoints.get(&endpoint);
+        let is_same_start = |known: &&KnownEndpoint| known.started_at == started_at;
+        let says_leaving = known
+            .filter(is_same_start)
+            .is_some_and(|known| known.says_leaving);
         let new_entry = KnownEndpoint {
             pool,
             info,
             missing_until: None,
+            started_at,
+            says_leaving,
         };
         match self.endpoints.get_mut(&endpoint) {
-            Some(entry) if entry.info == new_entry.info && entry.pool == new_entry.pool => {
-                entry.missing_until = None;
+            Some(entry)
+                if entry.info == new_entry.info
+                    && entry.pool == new_entry.pool
+                    && entry.says_leaving == new_entry.says_leaving =>
+            {
+                *entry = new_entry;
                 ViewChange::Same
             }
             Some(entry) => {
@@ -85,6 +120,17 @@
         }
     }
 
+    /// Records that an endpoint has said in an answer that it leaves.
+    pub fn mark_leaving(&mut self, endpoint: &EndpointId) -> ViewChange {
+        match self.endpoints.get_mut(endpoint) {
+            Some(entry) if !entry.says_leaving => {
+                entry.says_leaving = true;
+                ViewChange::Changed
+            }
+            _ => ViewChange::Same,
+        }
+    }
+
     /// Handles a missing entry. The endpoint is removed at once, or, during and shortly after a
     /// store outage, kept until it can no longer be expected to register again.
     pub fn remove(&mut self, endpoint: &EndpointId, now: Millis) -> ViewChange {
@@ -93,7 +139,7 @@
         let Some(entry) = self.endpoints.get_mut(endpoint) else {
             return ViewChange::Same;
         };
-        let is_leaving = entry.info.state == EndpointState::Leaving;
+        let is_leaving = entry.state() == EndpointState::Leaving;
         if may_return && !is_leaving {
             let until = rejoin_deadline.unwrap_or(Millis::MAX).max(now);
             entry.missing_until.get_or_insert(until);
@@ -146,7 +192,7 @@
         let missing: Vec<EndpointId> = missing.map(|(id, _)| id.clone()).collect();
         for endpoint in missing {
             let entry = self.endpoints.remove(&endpoint);
-            let state = entry.map(|entry| entry.info.state);
+            let state = entry.map(|entry| entry.state());
             let departure = Departure {
                 at: now,
                 is_announced: state == Some(EndpointState::Leaving),
@@ -164,7 +210,7 @@
     #[must_use]
     pub fn is_departed(&self, endpoint: &EndpointId) -> bool {
         let entry = self.endpoints.get(endpoint);
-        let is_leaving = entry.is_some_and(|entry| entry.info.state == EndpointState::Leaving);
+        let is_leaving = entry.is_some_and(|entry| entry.state() == EndpointState::Leaving);
         is_leaving || self.departed.contains_key(endpoint)
     }
 
@@ -180,7 +226,11 @@
     pub fn in_pool(&self, pool: &PoolId) -> Vec<EndpointInfo> {
         let is_in_pool = |entry: &&KnownEndpoint| entry.pool == *pool;
         let entries = self.endpoints.values().filter(is_in_pool);
-        entries.map(|entry| entry.info.clone()).collect()
+        let info = |entry: &KnownEndpoint| EndpointInfo {
+            state: entry.state(),
+            ..entry.info.clone()
+        };
+        entries.map(info).collect()
     }
 
     /// Number of known endpoints.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -31,8 +31,8 @@
 pub use crate::counters::RelayCounters;
 pub use crate::crash_registry::{CrashNotice, CrashRegistry};
 pub use crate::dialect::{
-    AnswerHead, AnswerSignature, CallerHead, ForwardHead, ForwardHelper, PromptSize, RunStatement,
-    WireDialect,
+    AnswerHead, AnswerSignature, CallerHead, ForwardHead, ForwardHelper, LeavingStatement,
+    PromptSize, RunStatement, WireDialect,
 };
 pub use crate::endpoint_view::{EndpointView, ViewChange};
 pub use crate::events::{EventSplitter, EventTooLarge, WholeEvent, is_after};
@@ -40,7 +40,7 @@
 pub use crate::placement::{
     DecisionFuture, DispatcherDriver, LOCAL_OWNER, LocalPlacementClient, PlacementClient,
 };
-pub use crate::placement_router::PlacementRouter;
+pub use crate::placement_router::{EndpointListener, PlacementRouter};
 pub use crate::reservation::{
     MemoryClient, MemoryReservation, ReleaseOutcome, ReserveOutcome, reservation_ttl,
 };
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -45,6 +45,9 @@
     /// that decides, or may decide, for this instance.
     fn report_limit(&self, notice: &RateNotice);
 
+    /// Reports to the stewards of this instance that an endpoint says in its answers that it leaves.
+    fn report_leaving(&self, endpoint: &EndpointId);
+
     /// Asks for permission to send a call to a limited endpoint of a plain service.
     fn request_permit(&self, endpoint: &EndpointId) -> LocalBoxFuture<'static, PermitDecision>;
 
@@ -251,6 +254,8 @@
         self.driver.apply_limit(notice);
     }
 
+    fn report_leaving(&self, _endpoint: &EndpointId) {}
+
     fn request_permit(&self, endpoint: &EndpointId) -> LocalBoxFuture<'static, PermitDecision> {
         std::future::ready(self.driver.request_permit(endpoint)).boxed_local()
     }
--- a/crates/relay/src/placement_router.rs
+++ b/crates/relay/src/placement_router.rs
@@ -11,7 +11,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use futures::FutureExt;
@@ -140,6 +140,12 @@
     last_heard_at: Millis,
 }
 
+/// Learns what the members of a steward report of endpoints.
+pub trait EndpointListener {
+    /// An endpoint says in its answers that it leaves.
+    fn endpoint_leaves(&self, endpoint: &EndpointId);
+}
+
 /// Placement router of one instance.
 ///
 /// Invariant: at most one dispatcher known to this instance counts a granted run, and a dispatcher
@@ -164,6 +170,7 @@
     member_sessions: RefCell<HashMap<u64, MemberSession>>,
     changed: Notify,
     steward_losses: Cell<u64>,
+    listener: RefCell<Option<Weak<dyn EndpointListener>>>,
 }
 
 impl PlacementRouter {
@@ -192,9 +199,15 @@
             member_sessions: RefCell::new(HashMap::new()),
             changed: Notify::new(),
             steward_losses: Cell::new(0),
+            listener: RefCell::new(None),
         }
     }
 
+    /// Sets who learns what members report of endpoints.
+    pub fn set_listener(&self, listener: Weak<dyn EndpointListener>) {
+        *self.listener.borrow_mut() = Some(listener);
+    }
+
     /// Adds a member or replaces its entry.
     pub fn put_member(&self, instance: InstanceId, member: FleetMember) {
         self.missing_members.borrow_mut().remove(&instance);
@@ -772,6 +785,13 @@
         }
     }
 
+    fn report_leaving(&self, endpoint: &EndpointId) {
+        let update = RunUpdate::Leaving(endpoint.clone());
+        for session in self.open_sessions() {
+            session.link.report_runs(std::slice::from_ref(&update));
+        }
+    }
+
     fn request_permit(&self, endpoint: &EndpointId) -> LocalBoxFuture<'static, PermitDecision> {
         Rc::clone(self).permit(endpoint.clone()).boxed_local()
     }
@@ -841,6 +861,12 @@
                 RunUpdate::Finished(number, report) => {
                     self.driver.finish(RunKey::new(session, number), &report);
                 }
+                RunUpdate::Leaving(endpoint) => {
+                    let listener = self.listener.borrow().as_ref().and_then(Weak::upgrade);
+                    if let Some(listener) = listener {
+                        listener.endpoint_leaves(&endpoint);
+                    }
+                }
                 RunUpdate::Limit(notice) => {
                     if self.driver.apply_limit(&notice) {
                         spdlog::info!("limit learned from a member", kv: {
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -15,7 +15,7 @@
 use crate::answer::{RelayFailure, WholeAnswer, strip_connection_headers};
 use crate::connections::{ForwardRequest, exchange_outcome};
 use crate::core::RelayCore;
-use crate::dialect::{AnswerSignature, ForwardHead, RunStatement};
+use crate::dialect::{AnswerSignature, ForwardHead, LeavingStatement, RunStatement};
 use crate::request::RelayRequest;
 
 /// Largest number of endpoints tried for one request, including those that could not be reached.
@@ -300,6 +300,9 @@
     if matches_request && answer.status != StatusCode::MISDIRECTED_REQUEST {
         let sent_at = guard.sent_at.get().unwrap_or(0);
         core.heard_limit(&guard.target.endpoint, head.rate_limit, sent_at);
+        if head.leaving == LeavingStatement::Leaving {
+            core.heard_leaving(&guard.target.endpoint);
+        }
     }
     if head.statement == RunStatement::NotRun && !answer.status.is_success() {
         return Err(CallError::new(
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -10,7 +10,7 @@
 use ntex::util::Bytes;
 use policy::catalog::RepeatRule;
 use policy::dispatch::placement::{
-    PlacementDecision, PlacementGrant, PlacementRequest, RunOutcome, RunReport,
+    EndpointTarget, PlacementDecision, PlacementGrant, PlacementRequest, RunOutcome, RunReport,
 };
 use policy::ids::{AccountId, EndpointId, Millis};
 use policy::outcome::{Refusal, RefusalReason, RetryReason, UnfinishedReason};
@@ -18,7 +18,9 @@
 use crate::answer::{RelayFailure, WholeAnswer, strip_connection_headers};
 use crate::connections::{AnswerBody, BodyChunk, EndpointAnswer, ForwardRequest, exchange_outcome};
 use crate::core::RelayCore;
-use crate::dialect::{AnswerSignature, ForwardHead, ForwardHelper, PromptSize, RunStatement};
+use crate::dialect::{
+    AnswerSignature, ForwardHead, ForwardHelper, LeavingStatement, PromptSize, RunStatement,
+};
 use crate::events::{EventSplitter, is_after};
 use crate::request::RelayRequest;
 use crate::reservation::MemoryReservation;
@@ -245,10 +247,11 @@
     pub(crate) async fn start(&mut self) -> Result<StreamStart, RelayFailure> {
         loop {
             let (guard, grant) = self.request_placement().await?;
-            if self.core.is_departed(&grant.host.endpoint) {
+            if let Some(departed) = self.departed_engine(&grant) {
                 // The dispatcher does not know yet that the endpoint is leaving.
-                guard.report(RunReport::new(RunOutcome::NotConnected));
-                self.excluded.push(grant.host.endpoint.clone());
+                let report = RunReport::new(RunOutcome::NotConnected);
+                guard.report(report.with_fault_at(Some(departed.address)));
+                self.excluded.push(departed.endpoint.clone());
                 self.tries += 1;
                 if self.tries >= MAX_TRIES {
                     return Err(self.final_failure(&RunReport::new(RunOutcome::NotConnected)));
@@ -269,6 +272,14 @@
         }
     }
 
+    /// An engine of the placement that is leaving or was removed; the host first.
+    fn departed_engine<'a>(&self, grant: &'a PlacementGrant) -> Option<&'a EndpointTarget> {
+        let helpers = grant.helpers.iter().map(|helper| &helper.target);
+        std::iter::once(&grant.host)
+            .chain(helpers)
+            .find(|target| self.core.is_departed(&target.endpoint))
+    }
+
     /// The next event; if the run breaks off, the stream is resumed in another run.
     pub(crate) async fn next(&mut self) -> StreamStep {
         loop {
@@ -321,6 +332,9 @@
         let Ok(Ok((guard, grant))) = requested else {
             return;
         };
+        if self.departed_engine(&grant).is_some() {
+            return;
+        }
         let Ok((run, head)) = self.start_run(guard, &grant).await else {
             return;
         };
@@ -640,6 +654,9 @@
         if matches_request && status != StatusCode::MISDIRECTED_REQUEST {
             self.core
                 .heard_limit(&grant.host.endpoint, head.rate_limit, sent_at);
+            if head.leaving == LeavingStatement::Leaving {
+                self.core.heard_leaving(&grant.host.endpoint);
+            }
         }
         if head.statement == RunStatement::NotRun && !status.is_success() {
             // An endpoint that names another one at fault could not connect to it.
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -273,3 +273,38 @@
     assert_eq!(put(&mut view), ViewChange::Changed);
     assert_eq!(put(&mut view), ViewChange::Same);
 }
+
+#[test]
+fn what_an_endpoint_says_in_answers_holds_for_its_process() {
+    struct Case {
+        name: &'static str,
+        started_at: Option<u64>,
+        state: EndpointState,
+    }
+    let cases = [
+        Case {
+            name: "heartbeat that says ready",
+            started_at: Some(1),
+            state: EndpointState::Leaving,
+        },
+        Case {
+            name: "another process under the same id",
+            started_at: Some(2),
+            state: EndpointState::Ready,
+        },
+    ];
+    let pool = PoolId::new("pool");
+    let endpoint = EndpointId::new("a");
+    let mut view = EndpointView::new();
+    view.put_started(pool.clone(), info("a", EndpointState::Ready), Some(1));
+    assert_eq!(view.mark_leaving(&endpoint), ViewChange::Changed);
+    assert_eq!(view.mark_leaving(&endpoint), ViewChange::Same);
+    for case in cases {
+        let entry = info("a", EndpointState::Ready);
+        view.put_started(pool.clone(), entry, case.started_at);
+        let states: Vec<_> = view.in_pool(&pool).iter().map(|info| info.state).collect();
+        assert_eq!(states, [case.state], "{}", case.name);
+        let is_leaving = case.state == EndpointState::Leaving;
+        assert_eq!(view.is_departed(&endpoint), is_leaving, "{}", case.name);
+    }
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -116,6 +116,7 @@
     crashing.await?;
     environment.check_crashing_calls(&mut violations).await;
     environment.check_limits(&mut violations).await;
+    environment.check_leaving(&mut violations).await;
     restarting.abort();
     environment.check_after_recovery(&mut violations).await;
     let runs = environment.runs();
--- a/crates/soak/src/run/final_checks.rs
+++ b/crates/soak/src/run/final_checks.rs
@@ -5,7 +5,7 @@
 use futures::future::join_all;
 use ntex::http::StatusCode;
 
-use super::{CRASH_INTERVAL, SoakEnvironment};
+use super::{CRASH_INTERVAL, EVENT_INTERVAL, SoakEnvironment};
 use crate::caller::{CallKind, CallOutcome, SoakCaller};
 use crate::check::{DRAIN_TIME, Violation};
 
@@ -43,8 +43,11 @@
 /// Largest number of requests in a window: one and a half times the limit, and five.
 const MAX_REQUESTS_IN_WINDOW: usize = 14;
 
-/// Time that a caller waits between two calls to limited endpoints.
-const LIMITED_CALL_INTERVAL: Duration = Duration::from_millis(80);
+/// Engine that says in its answers that it leaves.
+const SAYS_LEAVING: usize = 1;
+
+/// Time that a caller waits between two calls while endpoints limit or refuse them.
+const PRESSING_INTERVAL: Duration = Duration::from_millis(80);
 
 impl SoakEnvironment {
     /// Checks that a call that has crashed several endpoints is not sent on.
@@ -83,6 +86,46 @@
         }
     }
 
+    /// Calls engines and plain endpoints through all daemons for `time`.
+    async fn press(&self, time: Duration) {
+        let started_at = Instant::now();
+        let addresses = self.caller_addresses().into_iter().enumerate();
+        let callers = addresses.map(|(daemon, address)| async move {
+            let caller = SoakCaller::new(daemon, address).await;
+            let kinds = [CallKind::Question, CallKind::Status];
+            for kind in kinds.into_iter().cycle() {
+                if started_at.elapsed() >= time {
+                    return;
+                }
+                self.call(&caller, kind, "key-0").await;
+                tokio::time::sleep(PRESSING_INTERVAL).await;
+            }
+        });
+        join_all(callers).await;
+    }
+
+    /// Checks that an engine which says in its answers that it leaves, while its entry says that it
+    /// is ready, gets no more requests.
+    pub(super) async fn check_leaving(&self, violations: &mut Vec<Violation>) {
+        let leaving = &self.endpoints[SAYS_LEAVING];
+        leaving.set_leaving(true);
+        let said_at = Instant::now();
+        self.press(3 * DRAIN_TIME).await;
+        let mut arrivals = leaving.arrivals();
+        arrivals.retain(|at| *at >= said_at);
+        // The daemons learn it from the answer to the first of these.
+        let learned_at = arrivals.first().copied().unwrap_or(said_at);
+        let is_late = |at: &&Instant| **at >= learned_at + EVENT_INTERVAL + DRAIN_TIME;
+        let late = arrivals.iter().filter(is_late).count();
+        if late > 0 {
+            let observed = format!("endpoint {SAYS_LEAVING}: {late} requests");
+            violations.push(Violation::new(
+                "an endpoint that says that it leaves gets no more requests",
+                observed,
+            ));
+        }
+    }
+
     /// Checks that an engine and an endpoint of the plain service that name a limit get no more
     /// requests than that, from all daemons together.
     pub(super) async fn check_limits(&self, violations: &mut Vec<Violation>) {
@@ -91,22 +134,7 @@
             self.endpoints[index].set_rate_limit(Some(FINAL_LIMIT));
         }
         let named_at = Instant::now();
-        let addresses = self.caller_addresses();
-        let callers = addresses
-            .into_iter()
-            .enumerate()
-            .map(|(daemon, address)| async move {
-                let caller = SoakCaller::new(daemon, address).await;
-                let kinds = [CallKind::Question, CallKind::Status];
-                for kind in kinds.into_iter().cycle() {
-                    if named_at.elapsed() >= LIMIT_SETTLING_TIME + LIMIT_WINDOW {
-                        return;
-                    }
-                    self.call(&caller, kind, "key-0").await;
-                    tokio::time::sleep(LIMITED_CALL_INTERVAL).await;
-                }
-            });
-        join_all(callers).await;
+        self.press(LIMIT_SETTLING_TIME + LIMIT_WINDOW).await;
         for index in limited {
             let mut arrivals = self.endpoints[index].arrivals();
             let from = named_at + LIMIT_SETTLING_TIME;
