Keep what an endpoint said of its leaving while its entry is missing

Cause: an entry that lapses and comes back, as after an outage of the store, opened an endpoint again that had said in an answer that it leaves. Change: the record of a removed endpoint keeps its start and its word; an entry with the same start takes them over. explain shows the new state changes (crash notices, endpoints lost under runs, limits, leaving). Before: the case 'entry that comes back' of what_an_endpoint_says_in_answers_holds_ for_its_process, new with this change, has no counterpart in the code (put_started looked at listed entries only). After: tests of the view pass.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -15,10 +15,15 @@
 
 /// Messages of the log lines about a change of an instance's view or of a dependency. They have to
 /// match the messages that the instances log, word for word.
-const STATE_CHANGE_MESSAGES: [&str; 12] = [
+const STATE_CHANGE_MESSAGES: [&str; 17] = [
     "configuration applied",
+    "crash notice applied",
     "endpoint changed",
+    "endpoint changed its limit",
     "endpoint entry missing",
+    "endpoint lost under a run",
+    "endpoint says that it leaves",
+    "limit learned from a member",
     "phase changed",
     "reader lost",
     "registration lease expired",
--- a/crates/relay/src/endpoint_view.rs
+++ b/crates/relay/src/endpoint_view.rs
@@ -41,6 +41,21 @@
     at: Millis,
     /// Whether the endpoint was seen leaving before.
     is_announced: bool,
+    /// As in the removed entry.
+    started_at: Option<u64>,
+    /// As in the removed entry.
+    says_leaving: bool,
+}
+
+impl Departure {
+    fn new(entry: &KnownEndpoint, at: Millis) -> Self {
+        Self {
+            at,
+            is_announced: entry.state() == EndpointState::Leaving,
+            started_at: entry.started_at,
+            says_leaving: entry.says_leaving,
+        }
+    }
 }
 
 /// The endpoints of all pools, as listed in the platform's store.
@@ -87,12 +102,11 @@
         started_at: Option<u64>,
     ) -> ViewChange {
         let endpoint = info.target.endpoint.clone();
-        self.departed.remove(&endpoint);
-        let known = self.endpoints.get(&endpoint);
-        let is_same_start = |known: &&KnownEndpoint| known.started_at == started_at;
-        let says_leaving = known
-            .filter(is_same_start)
-            .is_some_and(|known| known.says_leaving);
+        let departure = self.departed.remove(&endpoint);
+        let departed = departure.map(|known| (known.started_at, known.says_leaving));
+        let listed = self.endpoints.get(&endpoint);
+        let listed = listed.map(|known| (known.started_at, known.says_leaving));
+        let says_leaving = listed.or(departed) == Some((started_at, true));
         let new_entry = KnownEndpoint {
             pool,
             info,
@@ -145,15 +159,17 @@
             entry.missing_until.get_or_insert(until);
             return ViewChange::Same;
         }
-        self.endpoints.remove(endpoint);
-        let departure = Departure {
-            at: now,
-            is_announced: is_leaving,
-        };
-        self.departed.insert(endpoint.clone(), departure);
+        self.depart(endpoint, now);
         ViewChange::Changed
     }
 
+    fn depart(&mut self, endpoint: &EndpointId, now: Millis) {
+        if let Some(entry) = self.endpoints.remove(endpoint) {
+            let departure = Departure::new(&entry, now);
+            self.departed.insert(endpoint.clone(), departure);
+        }
+    }
+
     /// Known endpoints that are not in `listed`.
     #[must_use]
     pub fn unlisted(&self, listed: &[EndpointId]) -> Vec<EndpointId> {
@@ -191,13 +207,7 @@
         let missing = self.endpoints.iter().filter(|(_, entry)| !is_kept(entry));
         let missing: Vec<EndpointId> = missing.map(|(id, _)| id.clone()).collect();
         for endpoint in missing {
-            let entry = self.endpoints.remove(&endpoint);
-            let state = entry.map(|entry| entry.state());
-            let departure = Departure {
-                at: now,
-                is_announced: state == Some(EndpointState::Leaving),
-            };
-            self.departed.insert(endpoint, departure);
+            self.depart(&endpoint, now);
         }
         if self.endpoints.len() == before {
             ViewChange::Same
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -278,17 +278,27 @@
 fn what_an_endpoint_says_in_answers_holds_for_its_process() {
     struct Case {
         name: &'static str,
+        /// Whether the entry is removed before.
+        is_removed: bool,
         started_at: Option<u64>,
         state: EndpointState,
     }
     let cases = [
         Case {
             name: "heartbeat that says ready",
+            is_removed: false,
+            started_at: Some(1),
+            state: EndpointState::Leaving,
+        },
+        Case {
+            name: "entry that comes back",
+            is_removed: true,
             started_at: Some(1),
             state: EndpointState::Leaving,
         },
         Case {
             name: "another process under the same id",
+            is_removed: false,
             started_at: Some(2),
             state: EndpointState::Ready,
         },
@@ -300,6 +310,9 @@
     assert_eq!(view.mark_leaving(&endpoint), ViewChange::Changed);
     assert_eq!(view.mark_leaving(&endpoint), ViewChange::Same);
     for case in cases {
+        if case.is_removed {
+            view.remove(&endpoint, 0);
+        }
         let entry = info("a", EndpointState::Ready);
         view.put_started(pool.clone(), entry, case.started_at);
         let states: Vec<_> = view.in_pool(&pool).iter().map(|info| info.state).collect();
