End a limit that only a lost instance had heard of

Callers saw: refusals (endpoint_limits) for as long as ten minutes after a limit had ended. Its log: entry-1 heard of a limit of zero, told its new steward when it joined, and was restarted; the steward and the other instance had never heard of it, so that none of their answers was news. Cause: an answer without a limit is reported only by an instance that knows of the limit. Class: knowledge without anyone who may revoke it. Ruled out: reporting each answer of each endpoint (a note a request); a shorter retention, under which an idle endpoint would get a burst. Change: the first event of a run that was granted after the limit was last heard of ends it at the dispatcher: the instance would have reported a limit before the event. Before: answer_without_a_limit_ends_a_limit_that_another_instance_heard failed (left: false, right: true). After: passes; tests of policy pass.

--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -126,8 +126,11 @@
 
     /// Records the first event of a run: its prompt has been prefilled.
     pub fn first_event(&mut self, key: RunKey, now: Millis) {
-        if let Some(pool_dispatcher) = self.pool_of(key) {
-            pool_dispatcher.first_event(key, now);
+        let Some(pool_dispatcher) = self.pool_of(key) else {
+            return;
+        };
+        if let Some((host, placed_at)) = pool_dispatcher.first_event(key, now) {
+            self.rates.answered(&host, placed_at, now);
         }
     }
 
--- a/crates/policy/src/dispatch/pool_dispatcher.rs
+++ b/crates/policy/src/dispatch/pool_dispatcher.rs
@@ -78,12 +78,12 @@
         }
     }
 
-    pub(super) fn first_event(&mut self, key: RunKey, now: Millis) {
-        let Some(run) = self.runs.get_mut(&key) else {
-            return;
-        };
+    /// Records the first event of a run. Returns its host and when it was placed, unless the run is
+    /// unknown or decodes already.
+    pub(super) fn first_event(&mut self, key: RunKey, now: Millis) -> Option<(EndpointId, Millis)> {
+        let run = self.runs.get_mut(&key)?;
         if run.phase == RunPhase::Decode {
-            return;
+            return None;
         }
         run.phase = RunPhase::Decode;
         let elapsed_ms = u64_to_f64(now.saturating_sub(run.placed_at));
@@ -97,6 +97,8 @@
                 .health
                 .record_latency(run.first_event_ms / run.slowdown, elapsed_ms, now);
         }
+        let host = &self.endpoints[*run.engines.first()?];
+        Some((host.info.target.endpoint.clone(), run.placed_at))
     }
 
     pub(super) fn finish(
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -140,6 +140,21 @@
         true
     }
 
+    /// Records that an endpoint has answered a request that it was granted at `granted_at`. An
+    /// instance reports a limit before it reports the answer that names it, so an answer to a later
+    /// grant ends the limit. Returns whether it did.
+    pub fn answered(&mut self, endpoint: &EndpointId, granted_at: Millis, now: Millis) -> bool {
+        let Some(limit) = self.limits.get_mut(endpoint) else {
+            return false;
+        };
+        if limit.rate.is_none() || granted_at <= limit.heard_at {
+            return false;
+        }
+        limit.rate = None;
+        limit.heard_at = now;
+        true
+    }
+
     /// The limit of an endpoint; `None` if it has none.
     #[must_use]
     pub fn rate(&self, endpoint: &EndpointId) -> Option<RequestRate> {
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -689,6 +689,49 @@
     assert!(limited <= 4, "{limited}");
 }
 
+#[test]
+fn answer_without_a_limit_ends_a_limit_that_another_instance_heard() {
+    struct Case {
+        name: &'static str,
+        /// Whether the answer names the limit again.
+        is_named: bool,
+        has_ended: bool,
+    }
+    let cases = [
+        Case {
+            name: "the answer names no limit",
+            is_named: false,
+            has_ended: true,
+        },
+        Case {
+            name: "the answer names the limit",
+            is_named: true,
+            has_ended: false,
+        },
+    ];
+    for case in cases {
+        let mut dispatcher = dispatcher(1);
+        // Sent before the limit was heard of; its answer says nothing of what came later.
+        grant(&mut dispatcher, 1, short(), 0);
+        limit(&mut dispatcher, 0, 1.0, 100);
+        dispatcher.first_event(key(1), 200);
+        let endpoint = EndpointId::new("engine-0");
+        assert!(
+            dispatcher.rates().rate(&endpoint).is_some(),
+            "{}",
+            case.name
+        );
+        dispatcher.finish(key(1), &RunReport::new(RunOutcome::Served), 300);
+        grant(&mut dispatcher, 2, short(), 1_200);
+        if case.is_named {
+            limit(&mut dispatcher, 0, 1.0, 1_300);
+        }
+        dispatcher.first_event(key(2), 1_300);
+        let has_ended = dispatcher.rates().rate(&endpoint).is_none();
+        assert_eq!(has_ended, case.has_ended, "{}", case.name);
+    }
+}
+
 #[test]
 fn limited_engine_helps_no_other() {
     let mut dispatcher = dispatcher(4);
