Log a learned crash only if it is not the first under its request

Cause: each instance logged each notice of each other one. Change: the line is written from the second crash under a request on; the first decides nothing, and the instance that saw it logs it. Log lines only.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -394,15 +394,18 @@
         let now = self.now();
         let mut crashes = self.dependencies.crashes.borrow_mut();
         for notice in notices {
-            if !crashes.apply(notice, now) {
-                continue;
-            }
+            let is_new = crashes.apply(notice, now);
             let (fingerprint, endpoint) = match notice {
                 CrashNotice::Crashed(crash) => {
                     (crash.report.fingerprint, crash.report.endpoint.as_str())
                 }
                 CrashNotice::Served(fingerprint) => (*fingerprint, ""),
             };
+            // Each instance learns of each crash. A single one decides nothing, and its own instance
+            // logs it.
+            if !is_new || crashes.crashes(fingerprint, now).0 <= 1 {
+                continue;
+            }
             spdlog::info!("crash notice applied", kv: {
                 fingerprint = fingerprint.to_string().as_str(),
                 endpoint = endpoint,
