Split the module of streams by job

Placement, one run up to its first event, the guard that reports a run, the reasons of failure and the events of a run are modules of their own now; the session keeps failover.

--- /dev/null
+++ b/crates/relay/src/stream/running.rs
@@ -0,0 +1,248 @@
+//! One run of a stream, from its placement to its first event.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ntex::http::StatusCode;
+use policy::catalog::RepeatRule;
+use policy::dispatch::placement::{PlacementGrant, RunOutcome};
+use policy::ids::{EndpointId, Millis};
+use policy::outcome::RetryReason;
+
+use super::event_stream::EventStream;
+use super::run_error::{RequestDelivery, RunError};
+use super::run_guard::RunGuard;
+use super::{StreamHead, StreamRun, StreamSession};
+use crate::answer::{WholeAnswer, strip_connection_headers};
+use crate::connections::{AnswerBody, EndpointAnswer, ForwardRequest, exchange_outcome};
+use crate::dialect::{AnswerSignature, ForwardHead, ForwardHelper, LeavingStatement, RunStatement};
+use crate::reservation::MemoryReservation;
+
+/// Slack of the first-event timeout, in milliseconds: a run without a first event is abandoned
+/// after three times the expected time plus this slack, the longest pass of an engine that meets
+/// its pause targets.
+const FIRST_EVENT_SLACK: Millis = 1_000;
+
+impl StreamSession {
+    pub(super) async fn start_run(
+        &mut self,
+        guard: RunGuard,
+        grant: &PlacementGrant,
+    ) -> Result<(StreamRun, StreamHead), RunError> {
+        let request = Rc::clone(&self.request);
+        let trace = &request.trace;
+        let endpoints = &trace.endpoints;
+        endpoints.borrow_mut().push(grant.host.endpoint.clone());
+        trace
+            .helpers
+            .set(trace.helpers.get().max(grant.helpers.len()));
+        trace.expected.set(grant.expected_first);
+        self.tries += 1;
+        self.log_shared_placement(grant);
+        let timeout = self.first_event_timeout(grant);
+        let reserved = self.reserve(&guard, grant).await;
+        let reservation = match reserved {
+            Ok(reservation) => reservation,
+            Err(error) => {
+                guard.report(error.report.clone());
+                return Err(error);
+            }
+        };
+        guard.sent(&request, &grant.host.endpoint);
+        let opened =
+            tokio::time::timeout(timeout, self.open_stream(grant, reservation.as_ref())).await;
+        let opened = opened.unwrap_or_else(|_| {
+            let error = RunError::new(RunOutcome::Silent, RetryReason::StreamSilent);
+            Err(error)
+        });
+        match opened {
+            Ok((stream, head)) => {
+                self.core.placement().first_event(guard.number);
+                guard.heard();
+                let run = StreamRun {
+                    guard,
+                    endpoint: grant.host.endpoint.clone(),
+                    stream,
+                    _reservation: reservation,
+                };
+                Ok((run, head))
+            }
+            Err(error) => {
+                self.report_failure(&guard, &grant.host.endpoint, &error);
+                Err(error)
+            }
+        }
+    }
+
+    /// Reports a run that failed to the dispatcher.
+    pub(super) fn report_failure(&self, guard: &RunGuard, endpoint: &EndpointId, error: &RunError) {
+        guard.report(error.report.clone());
+        if error.may_have_run() {
+            let outcome = error.report.outcome;
+            self.core
+                .run_failed(&self.request, endpoint, outcome, error.reason);
+        }
+    }
+
+    /// Logs a placement whose prefill is shared with helpers. Other placements appear only in the
+    /// line that is logged at the end of the request.
+    pub(super) fn log_shared_placement(&self, grant: &PlacementGrant) {
+        if grant.helpers.is_empty() {
+            return;
+        }
+        let helpers = grant.helpers.iter();
+        let names: Vec<&str> = helpers
+            .map(|helper| helper.target.endpoint.as_str())
+            .collect();
+        spdlog::info!("request placed with helpers", kv: {
+            request = self.request.head.request_id.as_str(),
+            host = grant.host.endpoint.as_str(),
+            helpers = names.join(",").as_str(),
+            reserved = grant.helpers.iter().map(|helper| helper.reserved_tokens).sum::<u64>(),
+            expected = grant.expected_first,
+            queued = self.request.trace.queued.get(),
+        });
+    }
+
+    /// Reserves memory on the helpers if the prompt needs it.
+    pub(super) async fn reserve(
+        &self,
+        guard: &RunGuard,
+        grant: &PlacementGrant,
+    ) -> Result<Option<MemoryReservation>, RunError> {
+        let helpers = &grant.helpers;
+        if helpers.iter().all(|helper| helper.reserved_tokens == 0) {
+            return Ok(None);
+        }
+        let id = self.core.reservation_id(guard.number);
+        let reservation_ttl = self.core.reservation_ttl();
+        let reserved =
+            MemoryReservation::reserve(self.core.memory(), &id, helpers, reservation_ttl).await;
+        reserved.map(Some).map_err(|address| {
+            spdlog::info!("memory not reserved", kv: {
+                request = self.request.head.request_id.as_str(),
+                id = id.as_str(),
+                address: = address,
+            });
+            let mut error = RunError::new(RunOutcome::Refused, RetryReason::EndpointRefused);
+            error.report = error.report.with_fault_at(Some(address));
+            error.delivery = RequestDelivery::Undelivered;
+            error
+        })
+    }
+
+    /// Longest wait for the first event.
+    pub(super) fn first_event_timeout(&self, grant: &PlacementGrant) -> Duration {
+        let route = &self.request.admitted.route;
+        let left = self.request.time_left(self.core.now());
+        let timeout = grant.expected_first * 3 + FIRST_EVENT_SLACK;
+        let has_retry_left =
+            self.runs + 1 < route.attempts && route.repeat == RepeatRule::Repeatable;
+        Duration::from_millis(if has_retry_left {
+            timeout.min(left)
+        } else {
+            left
+        })
+    }
+
+    pub(super) async fn open_stream(
+        &mut self,
+        grant: &PlacementGrant,
+        reservation: Option<&MemoryReservation>,
+    ) -> Result<(EventStream, StreamHead), RunError> {
+        let sent_at = self.core.now();
+        let answer = self.send(grant, reservation).await?;
+        let (body, head) = self.validate_head(grant, answer, sent_at).await?;
+        let mut stream = EventStream::new(body);
+        while stream.events.is_empty() && !stream.is_ended {
+            stream.read(&mut self.last_event).await?;
+        }
+        Ok((stream, head))
+    }
+
+    pub(super) async fn send(
+        &self,
+        grant: &PlacementGrant,
+        reservation: Option<&MemoryReservation>,
+    ) -> Result<EndpointAnswer, RunError> {
+        let request = &self.request;
+        let helpers = grant.helpers.iter().map(|helper| ForwardHelper {
+            address: helper.target.address,
+            reservation: reservation
+                .and_then(|reservation| reservation.id_at(helper.target.address)),
+        });
+        let helpers: Vec<ForwardHelper> = helpers.collect();
+        let head = ForwardHead {
+            endpoint: &grant.host.endpoint,
+            time_left: request.time_left(self.core.now()),
+            account: request.admitted.account.as_ref(),
+            helpers: &helpers,
+            resume_after: self.last_event.as_deref(),
+        };
+        let call = ForwardRequest {
+            address: grant.host.address,
+            method: request.method.as_str(),
+            path_and_query: &request.path_and_query,
+            headers: request.forward_headers(self.core.dialect(), &head),
+            body: request.body.clone(),
+            repeat: request.admitted.route.repeat,
+        };
+        let sent = self.core.connections().send(call).await;
+        sent.map_err(|error| {
+            let (outcome, reason) = exchange_outcome(error);
+            RunError::new(outcome, reason)
+        })
+    }
+
+    /// Accepts the head of a signed, successful answer to this request. Anything else is an error,
+    /// which keeps the answer if it may be forwarded.
+    pub(super) async fn validate_head(
+        &self,
+        grant: &PlacementGrant,
+        answer: EndpointAnswer,
+        sent_at: Millis,
+    ) -> Result<(AnswerBody, StreamHead), RunError> {
+        let head = self.core.dialect().read_answer(&answer.headers);
+        let status = answer.status;
+        let matches_request =
+            head.request_id.as_deref() == Some(self.request.head.request_id.as_str());
+        if matches_request && status != StatusCode::MISDIRECTED_REQUEST {
+            self.core
+                .heard_limit(&grant.host.endpoint, head.rate_limit, sent_at);
+            if head.leaving == LeavingStatement::Leaving {
+                self.core.heard_leaving(&grant.host.endpoint);
+            }
+        }
+        if head.statement == RunStatement::NotRun && !status.is_success() {
+            // An endpoint that names another one at fault could not connect to it.
+            let outcome = match head.at_fault {
+                Some(_) => RunOutcome::NotConnected,
+                None => RunOutcome::Refused,
+            };
+            let mut error = RunError::new(outcome, RetryReason::EndpointRefused);
+            error.delivery = RequestDelivery::Delivered;
+            error.report = error.report.with_fault_at(head.at_fault);
+            return Err(error);
+        }
+        if !matches_request || head.signed == AnswerSignature::Unsigned {
+            return Err(RunError::new(
+                RunOutcome::Broken,
+                RetryReason::FrameRejected,
+            ));
+        }
+        let mut headers = answer.headers;
+        strip_connection_headers(&mut headers);
+        if status.is_success() {
+            return Ok((answer.body, StreamHead { status, headers }));
+        }
+        let max_bytes = self.request.catalog.bounds().body_bytes;
+        let body = answer.body.read_whole(max_bytes).await;
+        let mut error = RunError::new(RunOutcome::Failed, RetryReason::EndpointRefused);
+        error.answer = body.ok().map(|body| WholeAnswer {
+            status,
+            headers,
+            body,
+        });
+        Err(error)
+    }
+}
