--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod poison;
 pub mod pool;
 pub mod prefix;
+pub mod prompt_part;
 pub mod rate_limit;
 pub mod retry;
 pub mod rollout;
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -12,6 +12,7 @@
 use policy::ids::{DomainId, EndpointId, Millis, PoolId};
 use policy::outcome::{Refusal, RefusalReason, RetryReason};
 use policy::poison::{CrashReport, PoisonStatus};
+use policy::prompt_part::parts_text;
 use policy::rate_limit::{RateNotice, RateTable, RequestRate};
 use policy::retry::{BudgetLimits, BudgetTable, RetryDecision};
 use rand::rngs::SmallRng;
@@ -519,6 +520,7 @@
             outcome:? = outcome,
             reason = reason.code(),
             events = request.trace.events.get(),
+            parts = parts_text(&request.head.shared_parts).as_str(),
             crashes = crashes.crashes(fingerprint, now).0,
             steward_losses = self.placement().steward_losses(),
         });
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -5,6 +5,7 @@
 use ntex::http::HeaderMap;
 use ntex::http::header::HeaderName;
 use policy::ids::{AccountId, EndpointId, Millis};
+use policy::prompt_part::PromptPart;
 use policy::rate_limit::RequestRate;
 
 /// Sizes of a prompt and its answer, as stated by the caller.
@@ -27,6 +28,8 @@
     pub key: Option<String>,
     /// Sizes, for requests to model engines.
     pub prompt: Option<PromptSize>,
+    /// Parts of the prompt that other requests may share, in the order of the prompt.
+    pub shared_parts: Vec<PromptPart>,
     /// Id of the last event that the caller has received; the answer resumes after it.
     pub resume_after: Option<String>,
 }
