Test that a part of prompts which crashes engines reaches no more

The stand-in worker learns both: a crash by a part of the prompt, and an answer that ends with its connection.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 
 use adapter_standin::{
-    ConfigFixture, CrashPlan, CrashPoint, ResponsePlan, RouteFixture, RunRecord, ServiceFixture,
-    StoreFault, StoreStandin, WorkerFault, WorkerStandin,
+    ConfigFixture, CrashPlan, CrashPoint, CrashTrigger, ResponsePlan, RouteFixture, RunRecord,
+    ServiceFixture, StoreFault, StoreStandin, WorkerFault, WorkerStandin,
 };
 use futures::future::join_all;
 use ntex::http::StatusCode;
@@ -153,7 +153,7 @@
         for index in 0..size.engines + size.service_endpoints {
             let endpoint = WorkerStandin::new(&format!("endpoint-{index}"), any, plan.clone());
             endpoint.set_crash_plan(CrashPlan {
-                body: CRASHING_BODY.to_vec(),
+                trigger: CrashTrigger::Body(CRASHING_BODY.to_vec()),
                 point,
             });
             endpoint_paths.push(FaultProxy::new(Ipv4Addr::LOCALHOST, endpoint.address()).await?);
