Quarantine the parts of prompts that crash endpoints

Cause: crashes were counted by whole request (path, account, body), and no two of these requests are alike.

Change: crashes name the shared parts of their run's prompt.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod member;
 pub mod order;
 pub mod outcome;
+pub mod part_blame;
 pub mod poison;
 pub mod pool;
 pub mod prefix;
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 
 use crate::ids::{EndpointId, Millis};
+use crate::prompt_part::PromptPart;
 
 /// Hash of a request's content and account.
 #[derives::tag]
@@ -47,6 +48,8 @@
     pub report: CrashReport,
     /// Name of the run.
     pub run: String,
+    /// Shared parts of the run's prompt, in the order of the prompt.
+    pub parts: Vec<PromptPart>,
 }
 
 #[derive(Debug)]
@@ -124,6 +127,7 @@
             &RunCrash {
                 report: report.clone(),
                 run: String::new(),
+                parts: Vec::new(),
             },
             now,
         )
@@ -133,7 +137,7 @@
     /// fingerprint.
     pub fn record_run(&mut self, crash: &RunCrash, now: Millis) -> PoisonStatus {
         self.expire(now);
-        let RunCrash { report, run } = crash;
+        let RunCrash { report, run, .. } = crash;
         let record = self
             .records
             .entry(report.fingerprint)
--- /dev/null
+++ b/crates/policy/tests/part_blame.rs
@@ -0,0 +1,223 @@
+//! Blame of prompt parts for crashes of endpoints.
+
+use jackdawpoint_policy::ids::{EndpointId, Millis};
+use jackdawpoint_policy::part_blame::PartTable;
+use jackdawpoint_policy::prompt_part::PromptPart;
+
+const QUARANTINE_TIME: Millis = 30_000;
+
+/// Interval of the crashes.
+const INTERVAL: Millis = 400;
+
+const TEMPLATE: PromptPart = PromptPart(1);
+const CRASHING: PromptPart = PromptPart(2);
+const SOUND: PromptPart = PromptPart(3);
+const OTHER: PromptPart = PromptPart(4);
+
+/// A step of a history.
+enum Step<'a> {
+    /// An endpoint crashes under runs with these parts.
+    Crash(Vec<&'a [PromptPart]>),
+    /// Endpoints crash at the same moment, each under one run with these parts.
+    CommonCrash(usize, &'a [PromptPart]),
+    /// A run with these parts writes.
+    Write(&'a [PromptPart]),
+}
+
+struct Case<'a> {
+    name: &'a str,
+    history: Vec<Step<'a>>,
+    /// Parts that must be quarantined, and parts that must not be.
+    quarantined: &'a [PromptPart],
+    admitted: &'a [PromptPart],
+}
+
+/// Plays a history, a step each interval, and returns the table and the time at its end.
+fn play(history: &[Step<'_>]) -> (PartTable, Millis) {
+    let mut table = PartTable::new(QUARANTINE_TIME);
+    let mut now = 0;
+    let mut number = 0;
+    for step in history {
+        now += INTERVAL;
+        match step {
+            Step::Crash(runs) => {
+                number += 1;
+                let endpoint = EndpointId::new(format!("endpoint-{number}"));
+                for (index, parts) in runs.iter().copied().enumerate() {
+                    table.record_crash(&endpoint, &format!("{number}/{index}"), parts, now);
+                }
+            }
+            Step::CommonCrash(endpoints, parts) => {
+                for _ in 0..*endpoints {
+                    number += 1;
+                    let endpoint = EndpointId::new(format!("endpoint-{number}"));
+                    table.record_crash(&endpoint, &format!("{number}/0"), parts, now);
+                }
+            }
+            Step::Write(parts) => {
+                table.record_written(parts, now);
+            }
+        }
+    }
+    (table, now)
+}
+
+fn check(cases: &[Case<'_>]) {
+    for case in cases {
+        let (table, now) = play(&case.history);
+        for part in case.quarantined {
+            assert_eq!(
+                table.quarantined(&[*part], now),
+                Some(*part),
+                "{}",
+                case.name
+            );
+        }
+        for part in case.admitted {
+            assert_eq!(table.quarantined(&[*part], now), None, "{}", case.name);
+        }
+    }
+}
+
+/// Three crashes under runs with these parts.
+fn three_crashes<'a>(runs: &[&'a [PromptPart]]) -> Vec<Step<'a>> {
+    (0..3).map(|_| Step::Crash(runs.to_vec())).collect()
+}
+
+#[test]
+fn crashing_part_is_blamed_and_sound_ones_beside_it_are_not() {
+    let crashing: &[PromptPart] = &[TEMPLATE, CRASHING];
+    let sound: &[PromptPart] = &[TEMPLATE, SOUND];
+    let mut after_writes = vec![Step::Write(sound)];
+    after_writes.extend(three_crashes(&[crashing, sound]));
+    let mut later_cause = three_crashes(&[crashing]);
+    later_cause.push(Step::Crash(vec![sound]));
+    let mut two_causes = vec![Step::Write(sound)];
+    for _ in 0..3 {
+        two_causes.push(Step::Crash(vec![crashing]));
+        two_causes.push(Step::Crash(vec![&[TEMPLATE, OTHER]]));
+    }
+    check(&[
+        Case {
+            name: "only requests with the part",
+            history: three_crashes(&[crashing]),
+            quarantined: &[CRASHING],
+            admitted: &[TEMPLATE],
+        },
+        Case {
+            name: "sound runs on the same endpoints",
+            history: after_writes,
+            quarantined: &[CRASHING],
+            admitted: &[TEMPLATE, SOUND],
+        },
+        Case {
+            name: "a crash for another reason",
+            history: std::iter::once(Step::Write(sound))
+                .chain(later_cause)
+                .collect(),
+            quarantined: &[CRASHING],
+            admitted: &[TEMPLATE, SOUND],
+        },
+        Case {
+            name: "two crashing parts",
+            history: two_causes,
+            quarantined: &[CRASHING, OTHER],
+            admitted: &[TEMPLATE, SOUND],
+        },
+    ]);
+}
+
+#[test]
+fn first_part_is_blamed_whatever_follows_it() {
+    let history = vec![
+        Step::Crash(vec![&[CRASHING, SOUND]]),
+        Step::Crash(vec![&[CRASHING, OTHER]]),
+        Step::Crash(vec![&[CRASHING, TEMPLATE]]),
+    ];
+    let mut one_companion_first = three_crashes(&[&[CRASHING, SOUND]]);
+    one_companion_first.push(Step::Crash(vec![&[CRASHING, OTHER]]));
+    check(&[
+        Case {
+            name: "another companion each time",
+            history,
+            quarantined: &[CRASHING],
+            admitted: &[SOUND, OTHER, TEMPLATE],
+        },
+        Case {
+            name: "one companion, then another",
+            history: one_companion_first,
+            quarantined: &[CRASHING],
+            admitted: &[SOUND, OTHER],
+        },
+    ]);
+}
+
+#[test]
+fn parts_are_not_blamed_for_crashes_with_another_cause() {
+    let parts: &[PromptPart] = &[TEMPLATE, SOUND];
+    let mut written_between = Vec::new();
+    for _ in 0..6 {
+        written_between.push(Step::Crash(vec![parts]));
+        written_between.push(Step::Write(parts));
+    }
+    check(&[
+        Case {
+            name: "many endpoints at once",
+            history: vec![Step::CommonCrash(6, parts), Step::CommonCrash(6, parts)],
+            quarantined: &[],
+            admitted: parts,
+        },
+        Case {
+            name: "runs write between the crashes",
+            history: written_between,
+            quarantined: &[],
+            admitted: parts,
+        },
+    ]);
+}
+
+#[test]
+fn write_lifts_a_quarantine() {
+    let mut history = three_crashes(&[&[TEMPLATE, SOUND]]);
+    history.push(Step::Write(&[TEMPLATE, SOUND]));
+    check(&[Case {
+        name: "a run in flight writes",
+        history,
+        quarantined: &[],
+        admitted: &[TEMPLATE, SOUND],
+    }]);
+}
+
+#[test]
+fn writes_are_shared_when_the_next_crash_may_blame() {
+    let (mut table, now) = play(&[Step::Crash(vec![&[SOUND]])]);
+    assert_eq!(table.record_written(&[SOUND], now + 1), []);
+    let (mut table, now) = play(&[Step::Crash(vec![&[SOUND]]), Step::Crash(vec![&[SOUND]])]);
+    assert_eq!(table.record_written(&[SOUND], now + 1), [SOUND]);
+    assert_eq!(table.record_written(&[SOUND], now + 2), []);
+}
+
+#[test]
+fn notice_that_arrives_twice_counts_once() {
+    let mut table = PartTable::new(QUARANTINE_TIME);
+    let endpoint = EndpointId::new("endpoint-1");
+    for number in 0..6 {
+        table.record_crash(&endpoint, "run", &[CRASHING], number * 5_000);
+    }
+    assert_eq!(table.crash_count(CRASHING, 30_000).0, 1);
+}
+
+#[test]
+fn one_instance_tries_one_run_on_probation_and_a_crash_prolongs_the_quarantine() {
+    let (mut table, now) = play(&three_crashes(&[&[TEMPLATE, CRASHING]]));
+    let parts = &[TEMPLATE, CRASHING];
+    let ends_at = now + QUARANTINE_TIME;
+    assert_eq!(table.admit(parts, |_| true, ends_at - 1), Some(CRASHING));
+    assert_eq!(table.admit(parts, |_| false, ends_at), Some(CRASHING));
+    assert_eq!(table.admit(parts, |_| true, ends_at), None);
+    assert_eq!(table.admit(parts, |_| true, ends_at + 1), Some(CRASHING));
+    table.record_crash(&EndpointId::new("trial"), "trial", parts, ends_at + 10);
+    let later = ends_at + 10 + 4 * QUARANTINE_TIME;
+    assert_eq!(table.admit(parts, |_| true, later - 1), Some(CRASHING));
+    assert_eq!(table.admit(parts, |_| true, later), None);
+}
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -11,7 +11,8 @@
 use policy::dispatch::placement::{EndpointTarget, RunOutcome};
 use policy::ids::{DomainId, EndpointId, Millis, PoolId};
 use policy::outcome::{Refusal, RefusalReason, RetryReason};
-use policy::poison::{CrashReport, PoisonStatus};
+use policy::part_blame::{BlameChange, RunProgress};
+use policy::poison::{CrashReport, Fingerprint};
 use policy::prompt_part::parts_text;
 use policy::rate_limit::{RateNotice, RateTable, RequestRate};
 use policy::retry::{BudgetLimits, BudgetTable, RetryDecision};
@@ -22,7 +23,7 @@
 use crate::clock::BootClock;
 use crate::connections::EndpointConnections;
 use crate::counters::RelayCounters;
-use crate::crash_registry::{CrashNotice, CrashRegistry};
+use crate::crash_registry::{CrashNotice, CrashRegistry, QuarantineCause};
 use crate::dialect::WireDialect;
 use crate::endpoint_view::{EndpointView, ViewChange};
 use crate::placement::{DispatcherDriver, PlacementClient};
@@ -58,6 +59,15 @@
     Closing,
 }
 
+/// How a run that was sent ended without a whole answer.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RunFailure {
+    pub(crate) outcome: RunOutcome,
+    pub(crate) reason: RetryReason,
+    /// What the run had written.
+    pub(crate) progress: RunProgress,
+}
+
 /// Dependencies of a [`RelayCore`].
 pub struct RelayDependencies {
     /// Failure domain of this instance.
@@ -253,6 +263,7 @@
                 crashes = crashes.crashes(fingerprint, now).0,
             });
         }
+        Self::log_blame_changes(&mut crashes);
     }
 
     /// Passes the current endpoints to the dispatcher and to the balancers of plain services.
@@ -350,27 +361,28 @@
         self.retries.borrow_mut().budget(service).retry() == RetryDecision::Allowed
     }
 
-    /// Refuses a request that has crashed too many endpoints.
+    /// Refuses a request that has crashed too many endpoints, or with a part that has.
     pub(crate) fn check_quarantine(&self, request: &RelayRequest) -> Result<(), Refusal> {
         let now = self.now();
         let crashes = self.dependencies.crashes.borrow();
-        if crashes.is_quarantined(request.fingerprint(), now) {
-            return Err(Self::quarantine_refusal(&crashes, request, now));
+        let parts = &request.head.shared_parts;
+        match crashes.quarantine_cause(request.fingerprint(), parts, now) {
+            Some(cause) => Err(Self::quarantine_refusal(&crashes, request, cause, now)),
+            None => Ok(()),
         }
-        Ok(())
     }
 
-    /// Refuses a run that is about to be sent if its request has crashed too many endpoints. A run
-    /// on probation counts as sent.
+    /// Refuses a run that is about to be sent if its request, or a part of its prompt, has crashed
+    /// too many endpoints. A run on probation counts as sent.
     pub(crate) fn admit_run(&self, request: &RelayRequest) -> Result<(), Refusal> {
         let now = self.now();
-        let fingerprint = request.fingerprint();
-        let may_try = self.placement().may_try(fingerprint);
+        let parts = &request.head.shared_parts;
+        let may_try = |hash| self.placement().may_try(Fingerprint(hash));
         let mut crashes = self.dependencies.crashes.borrow_mut();
-        if crashes.admit(fingerprint, may_try, now) == PoisonStatus::Quarantined {
-            return Err(Self::quarantine_refusal(&crashes, request, now));
+        match crashes.admit(request.fingerprint(), parts, may_try, now) {
+            Some(cause) => Err(Self::quarantine_refusal(&crashes, request, cause, now)),
+            None => Ok(()),
         }
-        Ok(())
     }
 
     /// Name of this incarnation of the instance, unique in the fleet.
@@ -379,6 +391,13 @@
         &self.dependencies.incarnation_name
     }
 
+    /// Wakes the task that shares crash notices if there are any.
+    fn announce_notices(&self, crashes: &CrashRegistry) {
+        if crashes.has_unshared() {
+            self.notices_added.notify_one();
+        }
+    }
+
     /// Waits until there are crash notices to share.
     pub async fn crash_notices_added(&self) {
         self.notices_added.notified().await;
@@ -401,6 +420,7 @@
                     (crash.report.fingerprint, crash.report.endpoint.as_str())
                 }
                 CrashNotice::Served(fingerprint) => (*fingerprint, ""),
+                CrashNotice::Written(_) => continue,
             };
             // Each instance learns of each crash. A single one decides nothing, and its own instance
             // logs it.
@@ -414,19 +434,47 @@
                 crashes = crashes.crashes(fingerprint, now).0,
             });
         }
+        Self::log_blame_changes(&mut crashes);
     }
 
-    fn quarantine_refusal(crashes: &CrashRegistry, request: &RelayRequest, now: Millis) -> Refusal {
-        let (count, age) = crashes.crashes(request.fingerprint(), now);
+    fn quarantine_refusal(
+        crashes: &CrashRegistry,
+        request: &RelayRequest,
+        cause: QuarantineCause,
+        now: Millis,
+    ) -> Refusal {
+        let (count, age) = crashes.crashes_behind(cause, request.fingerprint(), now);
+        let part = match cause {
+            QuarantineCause::Request => String::new(),
+            QuarantineCause::Part(part) => part.to_string(),
+        };
         spdlog::info!("run refused by quarantine", kv: {
             request = request.head.request_id.as_str(),
             fingerprint = request.fingerprint().to_string().as_str(),
+            part = part.as_str(),
             crashes = count,
             age = age,
         });
         Refusal::new(RefusalReason::Quarantined, request.time_left(now))
     }
 
+    /// Logs the parts of prompts that are quarantined since the last call, or no longer.
+    fn log_blame_changes(crashes: &mut CrashRegistry) {
+        for change in crashes.take_blame_changes() {
+            match change {
+                BlameChange::Blamed(part, count) => {
+                    spdlog::warn!("prompt part quarantined", kv: {
+                        part = part.to_string().as_str(),
+                        crashes = count,
+                    });
+                }
+                BlameChange::Cleared(part) => {
+                    spdlog::info!("prompt part cleared", kv: { part = part.to_string().as_str() });
+                }
+            }
+        }
+    }
+
     /// Records that an endpoint has said in an answer to this instance that it leaves, and tells the
     /// stewards.
     pub(crate) fn heard_leaving(&self, endpoint: &EndpointId) {
@@ -488,14 +536,19 @@
     }
 
     /// Records a run that was sent and ended without a whole answer. The logged fingerprint connects
-    /// the runs of one request across attempts and instances.
+    /// the runs of one request across attempts and instances. A run that had written is no evidence
+    /// against its request: what it crashes, it crashes at the beginning.
     pub(crate) fn run_failed(
         &self,
         request: &RelayRequest,
         endpoint: &EndpointId,
-        outcome: RunOutcome,
-        reason: RetryReason,
+        failure: RunFailure,
     ) {
+        let RunFailure {
+            outcome,
+            reason,
+            progress,
+        } = failure;
         let fingerprint = request.fingerprint();
         let now = self.now();
         let mut crashes = self.dependencies.crashes.borrow_mut();
@@ -504,15 +557,19 @@
             endpoint: endpoint.clone(),
         };
         let is_lost = self.endpoint_view.borrow().is_lost(endpoint);
+        let parts = &request.head.shared_parts;
+        let has_written = progress.has_written(now);
         match outcome {
+            _ if has_written => {}
             RunOutcome::Broken if reason == RetryReason::StreamClosed => {
-                crashes.run_broke(report, now);
+                crashes.run_broke(report, parts, now);
             }
-            RunOutcome::Silent if is_lost => crashes.run_broke(report, now),
-            RunOutcome::Silent => crashes.run_fell_silent(report, now),
+            RunOutcome::Silent if is_lost => crashes.run_broke(report, parts, now),
+            RunOutcome::Silent => crashes.run_fell_silent(report, parts, now),
             _ => {}
         }
-        self.notices_added.notify_one();
+        Self::log_blame_changes(&mut crashes);
+        self.announce_notices(&crashes);
         spdlog::info!("run failed", kv: {
             request = request.head.request_id.as_str(),
             fingerprint = fingerprint.to_string().as_str(),
@@ -520,6 +577,7 @@
             outcome:? = outcome,
             reason = reason.code(),
             events = request.trace.events.get(),
+            had_written = has_written,
             parts = parts_text(&request.head.shared_parts).as_str(),
             crashes = crashes.crashes(fingerprint, now).0,
             steward_losses = self.placement().steward_losses(),
@@ -534,27 +592,35 @@
         request: &RelayRequest,
         endpoint: &EndpointId,
         heard_at: Millis,
+        progress: RunProgress,
     ) {
         if self.now().saturating_sub(heard_at) >= ABANDONED_SILENCE {
-            self.run_failed(
-                request,
-                endpoint,
-                RunOutcome::Silent,
-                RetryReason::StreamSilent,
-            );
+            let failure = RunFailure {
+                outcome: RunOutcome::Silent,
+                reason: RetryReason::StreamSilent,
+                progress,
+            };
+            self.run_failed(request, endpoint, failure);
         }
     }
 
+    /// Records that a run has written for some time on the request's prompt.
+    pub(crate) fn run_written(&self, request: &RelayRequest) {
+        let mut crashes = self.dependencies.crashes.borrow_mut();
+        crashes.run_written(&request.head.shared_parts, self.now());
+        self.announce_notices(&crashes);
+        Self::log_blame_changes(&mut crashes);
+    }
+
     /// Records that an endpoint has answered a request completely.
     pub(crate) fn run_served(&self, request: &RelayRequest) {
         let fingerprint = request.fingerprint();
-        if self
-            .dependencies
-            .crashes
-            .borrow_mut()
-            .run_served(fingerprint)
-        {
-            self.notices_added.notify_one();
+        let parts = &request.head.shared_parts;
+        let mut crashes = self.dependencies.crashes.borrow_mut();
+        let is_cleared = crashes.run_served(fingerprint, parts, self.now());
+        Self::log_blame_changes(&mut crashes);
+        self.announce_notices(&crashes);
+        if is_cleared {
             spdlog::info!("crash records cleared", kv: {
                 request = request.head.request_id.as_str(),
                 fingerprint = fingerprint.to_string().as_str(),
--- a/crates/relay/src/crash_registry.rs
+++ b/crates/relay/src/crash_registry.rs
@@ -4,7 +4,9 @@
 use std::collections::VecDeque;
 
 use policy::ids::{EndpointId, Millis};
+use policy::part_blame::{BlameChange, PartTable};
 use policy::poison::{CrashReport, Fingerprint, PoisonStatus, PoisonTable, RunCrash};
+use policy::prompt_part::PromptPart;
 
 /// Largest number of reports that wait to be shared; beyond it the oldest one is dropped.
 const MAX_UNSHARED: usize = 2_000;
@@ -24,6 +26,17 @@
     Crashed(RunCrash),
     /// An endpoint has served the request.
     Served(Fingerprint),
+    /// A run has written on prompts with these parts.
+    Written(Vec<PromptPart>),
+}
+
+/// Why a run must not be sent.
+#[derives::tag]
+pub enum QuarantineCause {
+    /// The request itself is quarantined.
+    Request,
+    /// A part of its prompt is.
+    Part(PromptPart),
 }
 
 /// A run that ended without any sign of its endpoint.
@@ -33,10 +46,11 @@
     at: Millis,
 }
 
-/// Crashes by request, and notices that are yet to be shared.
+/// Crashes by request and by part of the prompt, and notices that are yet to be shared.
 #[derive(Debug)]
 pub struct CrashRegistry {
     table: PoisonTable,
+    parts: PartTable,
     silent_runs: VecDeque<SilentRun>,
     unshared: VecDeque<CrashNotice>,
     /// Name of this incarnation of the instance; the names of its runs begin with it.
@@ -45,12 +59,13 @@
 }
 
 impl CrashRegistry {
-    /// Creates an empty registry. `table` decides on quarantines; `instance` is unique to this
-    /// incarnation of the instance.
+    /// Creates an empty registry. `table` decides on quarantines of requests and `parts` on those of
+    /// parts of prompts; `instance` is unique to this incarnation of the instance.
     #[must_use]
-    pub fn new(table: PoisonTable, instance: &str) -> Self {
+    pub fn new(table: PoisonTable, parts: PartTable, instance: &str) -> Self {
         Self {
             table,
+            parts,
             silent_runs: VecDeque::new(),
             unshared: VecDeque::new(),
             instance: instance.to_owned(),
@@ -58,15 +73,59 @@
         }
     }
 
-    /// Status of a request for a run that is about to be sent; see [`PoisonTable::admit`].
-    pub fn admit(&mut self, fingerprint: Fingerprint, may_try: bool, now: Millis) -> PoisonStatus {
-        self.table.admit(fingerprint, may_try, now)
+    /// Why a run that is about to be sent must not be, if so; see [`PoisonTable::admit`] and
+    /// [`PartTable::admit`]. `may_try` tells for a hash whether this instance sends the run on
+    /// probation.
+    pub fn admit(
+        &mut self,
+        fingerprint: Fingerprint,
+        parts: &[PromptPart],
+        may_try: impl Fn(u64) -> bool,
+        now: Millis,
+    ) -> Option<QuarantineCause> {
+        if let Some(part) = self.parts.quarantined(parts, now) {
+            return Some(QuarantineCause::Part(part));
+        }
+        let status = self.table.admit(fingerprint, may_try(fingerprint.0), now);
+        if status == PoisonStatus::Quarantined {
+            return Some(QuarantineCause::Request);
+        }
+        let refused = self.parts.admit(parts, |part| may_try(part.0), now);
+        refused.map(QuarantineCause::Part)
+    }
+
+    /// Why a request is quarantined, if it is and no run on probation is due.
+    #[must_use]
+    pub fn quarantine_cause(
+        &self,
+        fingerprint: Fingerprint,
+        parts: &[PromptPart],
+        now: Millis,
+    ) -> Option<QuarantineCause> {
+        if let Some(part) = self.parts.quarantined(parts, now) {
+            return Some(QuarantineCause::Part(part));
+        }
+        let status = self.table.status(fingerprint, now);
+        (status == PoisonStatus::Quarantined).then_some(QuarantineCause::Request)
     }
 
-    /// Whether a request is quarantined and no run on probation is due.
+    /// Number of crashes behind a quarantine, and time since the last one in milliseconds.
     #[must_use]
-    pub fn is_quarantined(&self, fingerprint: Fingerprint, now: Millis) -> bool {
-        self.table.status(fingerprint, now) == PoisonStatus::Quarantined
+    pub fn crashes_behind(
+        &self,
+        cause: QuarantineCause,
+        fingerprint: Fingerprint,
+        now: Millis,
+    ) -> (usize, Millis) {
+        match cause {
+            QuarantineCause::Request => self.crashes(fingerprint, now),
+            QuarantineCause::Part(part) => self.parts.crash_count(part, now),
+        }
+    }
+
+    /// Takes the changes of quarantined parts since the last call.
+    pub fn take_blame_changes(&mut self) -> Vec<BlameChange> {
+        self.parts.take_changes()
     }
 
     /// Number of crashes known for a request, and time since the last one in milliseconds.
@@ -76,16 +135,17 @@
         (self.table.crashes(fingerprint), age)
     }
 
-    /// Records that an endpoint closed the connection of a run before the answer was complete.
-    pub fn run_broke(&mut self, report: CrashReport, now: Millis) {
-        let crash = self.name_run(report);
+    /// Records that an endpoint closed the connection of a run before the answer was complete. The
+    /// shared parts of its prompt are `parts`.
+    pub fn run_broke(&mut self, report: CrashReport, parts: &[PromptPart], now: Millis) {
+        let crash = self.name_run(report, parts);
         self.record_own(crash, now);
     }
 
     /// Records that a run ended without any sign of its endpoint, which counts as a crash once the
     /// endpoint is known to be lost.
-    pub fn run_fell_silent(&mut self, report: CrashReport, now: Millis) {
-        let crash = self.name_run(report);
+    pub fn run_fell_silent(&mut self, report: CrashReport, parts: &[PromptPart], now: Millis) {
+        let crash = self.name_run(report, parts);
         if self.silent_runs.len() >= MAX_SILENT_RUNS {
             self.silent_runs.pop_front();
         }
@@ -113,7 +173,13 @@
 
     /// Records that an endpoint has answered a request completely. Returns whether crashes were
     /// attributed to the request before.
-    pub fn run_served(&mut self, fingerprint: Fingerprint) -> bool {
+    pub fn run_served(
+        &mut self,
+        fingerprint: Fingerprint,
+        parts: &[PromptPart],
+        now: Millis,
+    ) -> bool {
+        self.run_written(parts, now);
         let is_new = self.clear(fingerprint);
         if is_new {
             self.share(CrashNotice::Served(fingerprint));
@@ -121,6 +187,14 @@
         is_new
     }
 
+    /// Records that a run has written for some time on a prompt with these parts.
+    pub fn run_written(&mut self, parts: &[PromptPart], now: Millis) {
+        let shared = self.parts.record_written(parts, now);
+        if !shared.is_empty() {
+            self.share(CrashNotice::Written(shared));
+        }
+    }
+
     /// Applies a notice of another instance, or of this one. Returns whether it was new.
     pub fn apply(&mut self, notice: &CrashNotice, now: Millis) -> bool {
         match notice {
@@ -128,12 +202,25 @@
                 let fingerprint = crash.report.fingerprint;
                 let known = self.table.crashes(fingerprint);
                 self.table.record_run(crash, now);
+                let CrashReport { endpoint, .. } = &crash.report;
+                self.parts
+                    .record_crash(endpoint, &crash.run, &crash.parts, now);
                 self.table.crashes(fingerprint) > known
             }
             CrashNotice::Served(fingerprint) => self.clear(*fingerprint),
+            CrashNotice::Written(parts) => {
+                self.parts.record_written(parts, now);
+                true
+            }
         }
     }
 
+    /// Whether there are notices that have not been shared.
+    #[must_use]
+    pub fn has_unshared(&self) -> bool {
+        !self.unshared.is_empty()
+    }
+
     /// Takes up to `count` notices that have not been shared, the oldest first.
     pub fn take_unshared(&mut self, count: usize) -> Vec<CrashNotice> {
         let count = count.min(self.unshared.len());
@@ -146,16 +233,20 @@
         self.table.clear(fingerprint)
     }
 
-    fn name_run(&mut self, report: CrashReport) -> RunCrash {
+    fn name_run(&mut self, report: CrashReport, parts: &[PromptPart]) -> RunCrash {
         self.last_run += 1;
         RunCrash {
             report,
             run: format!("{}/{}", self.instance, self.last_run),
+            parts: parts.to_vec(),
         }
     }
 
     fn record_own(&mut self, crash: RunCrash, now: Millis) {
         self.table.record_run(&crash, now);
+        let endpoint = &crash.report.endpoint;
+        self.parts
+            .record_crash(endpoint, &crash.run, &crash.parts, now);
         self.share(CrashNotice::Crashed(crash));
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,7 +29,7 @@
 pub use crate::connections::EndpointConnections;
 pub use crate::core::{RelayCore, RelayDependencies, RelayPhase};
 pub use crate::counters::RelayCounters;
-pub use crate::crash_registry::{CrashNotice, CrashRegistry};
+pub use crate::crash_registry::{CrashNotice, CrashRegistry, QuarantineCause};
 pub use crate::dialect::{
     AnswerHead, AnswerSignature, CallerHead, ForwardHead, ForwardHelper, LeavingStatement,
     PromptSize, RunStatement, WireDialect,
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -9,12 +9,13 @@
 use policy::dispatch::placement::{EndpointTarget, RunOutcome};
 use policy::ids::{EndpointId, Millis};
 use policy::outcome::{Refusal, RefusalReason, RetryReason, UnfinishedReason};
+use policy::part_blame::RunProgress;
 use policy::rate_limit::PermitDecision;
 use transport::ExchangeError;
 
 use crate::answer::{RelayFailure, WholeAnswer, strip_connection_headers};
 use crate::connections::{ForwardRequest, exchange_outcome};
-use crate::core::RelayCore;
+use crate::core::{RelayCore, RunFailure};
 use crate::dialect::{AnswerSignature, ForwardHead, LeavingStatement, RunStatement};
 use crate::request::RelayRequest;
 
@@ -80,8 +81,9 @@
         if let Some(sent_at) = self.sent_at.get()
             && self.outcome.get() == RunOutcome::CallerLeft
         {
+            let endpoint = &self.target.endpoint;
             self.core
-                .run_abandoned(&self.request, &self.target.endpoint, sent_at);
+                .run_abandoned(&self.request, endpoint, sent_at, RunProgress::default());
         }
         self.core
             .end_call(service, &self.target.endpoint, self.outcome.get());
@@ -115,7 +117,12 @@
             Err(error) => error,
         };
         if error.ran == MayHaveRun::Yes {
-            core.run_failed(request, &guard.target.endpoint, error.outcome, error.reason);
+            let failure = RunFailure {
+                outcome: error.outcome,
+                reason: error.reason,
+                progress: RunProgress::default(),
+            };
+            core.run_failed(request, &guard.target.endpoint, failure);
         }
         guard.outcome.set(error.outcome);
         drop(guard);
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -178,7 +178,7 @@
             let read = run.stream.read(&mut self.last_event);
             let error = match tokio::time::timeout(timeout, read).await {
                 Ok(Ok(())) => {
-                    run.guard.heard();
+                    run.guard.heard(run.stream.events.len());
                     continue;
                 }
                 Ok(Err(error)) => error,
--- a/crates/relay/src/stream/run_guard.rs
+++ b/crates/relay/src/stream/run_guard.rs
@@ -1,10 +1,11 @@
 //! Reports of a run to its dispatcher.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use policy::dispatch::placement::{RunOutcome, RunReport};
 use policy::ids::{EndpointId, Millis};
+use policy::part_blame::RunProgress;
 
 use crate::core::RelayCore;
 use crate::request::RelayRequest;
@@ -15,6 +16,7 @@
     pub(super) number: u64,
     report: RefCell<RunReport>,
     sent_run: RefCell<Option<SentRun>>,
+    progress: Cell<RunProgress>,
 }
 
 /// A run that was sent to its host.
@@ -32,6 +34,7 @@
             number: core.next_request_number(),
             report: RefCell::new(RunReport::new(RunOutcome::CallerLeft)),
             sent_run: RefCell::new(None),
+            progress: Cell::default(),
         }
     }
 
@@ -44,13 +47,26 @@
         });
     }
 
-    /// Records that an event of the run has arrived.
-    pub(super) fn heard(&self) {
+    /// Records that the run has sent something, with this number of whole events.
+    pub(super) fn heard(&self, events: usize) {
+        let now = self.core.now();
+        let mut progress = self.progress.get();
+        progress.events_arrived(events, now);
+        let is_report_due = progress.is_report_due(now);
+        self.progress.set(progress);
         if let Some(sent_run) = self.sent_run.borrow_mut().as_mut() {
-            sent_run.heard_at = self.core.now();
+            sent_run.heard_at = now;
+            if is_report_due {
+                self.core.run_written(&sent_run.request);
+            }
         }
     }
 
+    /// What the run has written so far.
+    pub(super) fn progress(&self) -> RunProgress {
+        self.progress.get()
+    }
+
     pub(super) fn report(&self, report: RunReport) {
         *self.report.borrow_mut() = report;
     }
@@ -67,7 +83,8 @@
                 endpoint,
                 heard_at,
             } = sent_run;
-            self.core.run_abandoned(request, endpoint, *heard_at);
+            self.core
+                .run_abandoned(request, endpoint, *heard_at, self.progress.get());
         }
         self.core.placement().finish(self.number, report);
     }
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -15,6 +15,7 @@
 use super::{StreamHead, StreamRun, StreamSession};
 use crate::answer::{WholeAnswer, strip_connection_headers};
 use crate::connections::{AnswerBody, EndpointAnswer, ForwardRequest, exchange_outcome};
+use crate::core::RunFailure;
 use crate::dialect::{AnswerSignature, ForwardHead, ForwardHelper, LeavingStatement, RunStatement};
 use crate::reservation::MemoryReservation;
 
@@ -58,7 +59,7 @@
         match opened {
             Ok((stream, head)) => {
                 self.core.placement().first_event(guard.number);
-                guard.heard();
+                guard.heard(stream.events.len());
                 let run = StreamRun {
                     guard,
                     endpoint: grant.host.endpoint.clone(),
@@ -78,9 +79,12 @@
     pub(super) fn report_failure(&self, guard: &RunGuard, endpoint: &EndpointId, error: &RunError) {
         guard.report(error.report.clone());
         if error.may_have_run() {
-            let outcome = error.report.outcome;
-            self.core
-                .run_failed(&self.request, endpoint, outcome, error.reason);
+            let failure = RunFailure {
+                outcome: error.report.outcome,
+                reason: error.reason,
+                progress: guard.progress(),
+            };
+            self.core.run_failed(&self.request, endpoint, failure);
         }
     }
 
