Treat a connection that ends before any event as a broken stream

What callers saw: an empty 200. Cause: a stream without length or chunks ends with its connection, and any end outside an event counted as whole, so that an engine that crashed after the head of its answer also cleared the records of its request and of the parts of its prompt.

A resumed run that ends so counts as broken too: a stream that is taken for whole without its last event would be worse.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -128,6 +128,8 @@
 pub struct AnswerBody {
     incoming: Incoming,
     guard: Option<ConnectionGuard>,
+    /// Whether the body has a length or an end marker, so that its end is not that of its connection.
+    has_explicit_end: bool,
 }
 
 /// Result of reading from a body.
@@ -142,6 +144,12 @@
 }
 
 impl AnswerBody {
+    /// Whether the body ends with its connection, so that its end may also be that of the endpoint.
+    #[must_use]
+    pub fn ends_with_connection(&self) -> bool {
+        !self.has_explicit_end
+    }
+
     /// Reads the next chunk.
     ///
     /// A body without a length ends with its connection. It is complete if the connection was
@@ -300,6 +308,7 @@
 
 fn read_head(mut guard: ConnectionGuard, response: Response<Incoming>) -> EndpointAnswer {
     guard.keep_for = keep_alive_time(response.headers());
+    let has_explicit_end = has_explicit_end(response.headers());
     let (head, incoming) = response.into_parts();
     let mut headers = ntex::http::HeaderMap::new();
     for (name, value) in &head.headers {
@@ -315,18 +324,21 @@
         body: AnswerBody {
             incoming,
             guard: Some(guard),
+            has_explicit_end,
         },
     }
 }
 
+fn has_explicit_end(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// How long a connection may be kept after an answer; zero if it must be closed.
 fn keep_alive_time(headers: &HeaderMap) -> Duration {
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
     let closes =
         text(CONNECTION.as_str()).is_some_and(|value| value.to_ascii_lowercase().contains("close"));
-    let has_explicit_end =
-        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-    if closes || !has_explicit_end {
+    if closes || !has_explicit_end(headers) {
         return Duration::ZERO;
     }
     let stated = text(KEEP_ALIVE).and_then(|value| {
--- a/crates/relay/src/stream/event_stream.rs
+++ b/crates/relay/src/stream/event_stream.rs
@@ -16,6 +16,7 @@
     splitter: EventSplitter,
     pub(super) events: VecDeque<Bytes>,
     pub(super) is_ended: bool,
+    has_content: bool,
 }
 
 impl EventStream {
@@ -25,6 +26,7 @@
             splitter: EventSplitter::new(),
             events: VecDeque::new(),
             is_ended: false,
+            has_content: false,
         }
     }
 
@@ -32,11 +34,13 @@
     pub(super) async fn read(&mut self, last_event: &mut Option<String>) -> Result<(), RunError> {
         let broken = |reason| RunError::new(RunOutcome::Broken, reason);
         match self.body.next_chunk().await {
-            BodyChunk::Bytes(bytes) => self
-                .splitter
-                .push(&bytes)
-                .map_err(|_| broken(RetryReason::FrameRejected))?,
-            BodyChunk::End if self.splitter.is_empty() => self.is_ended = true,
+            BodyChunk::Bytes(bytes) => {
+                self.has_content |= !bytes.is_empty();
+                self.splitter
+                    .push(&bytes)
+                    .map_err(|_| broken(RetryReason::FrameRejected))?;
+            }
+            BodyChunk::End if self.is_whole() => self.is_ended = true,
             BodyChunk::End | BodyChunk::Broken => return Err(broken(RetryReason::StreamClosed)),
         }
         while let Some(event) = self.splitter.next_event() {
@@ -51,4 +55,10 @@
         }
         Ok(())
     }
+
+    /// Whether a stream that has ended here is whole: not inside an event, and not before the first
+    /// one if its end may be that of the endpoint.
+    fn is_whole(&self) -> bool {
+        self.splitter.is_empty() && (self.has_content || !self.body.ends_with_connection())
+    }
 }
