--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,7 +4,6 @@
 mod caller;
 mod check;
 mod daemon;
-mod proxy;
 mod run;
 mod schedule;
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 
 use adapter_standin::{
-    ConfigFixture, CrashPlan, CrashPoint, CrashTrigger, ResponsePlan, RouteFixture, RunRecord,
-    ServiceFixture, StoreFault, StoreStandin, WorkerFault, WorkerStandin,
+    ConfigFixture, CrashPlan, CrashPoint, CrashTrigger, FaultProxy, ProxyMode, ResponsePlan,
+    RouteFixture, RunRecord, ServiceFixture, StoreFault, StoreStandin, WorkerFault, WorkerStandin,
 };
 use futures::future::join_all;
 use ntex::http::StatusCode;
@@ -22,7 +22,6 @@
 use crate::caller::{CRASHING_BODY, CRASHING_PART, CallKind, CallOutcome, CallRecord, SoakCaller};
 use crate::check::{Violation, check_calls};
 use crate::daemon::{DaemonSignal, SoakDaemon};
-use crate::proxy::{FaultProxy, ProxyMode};
 use crate::schedule::{FaultTime, SoakFault, SoakSize, draw_schedule};
 
 /// Number of events in a stream.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -1,12 +1,10 @@
 //! Fault schedule of a run, derived from its seed.
 
-use adapter_standin::{StoreFault, WorkerFault};
+use adapter_standin::{ProxyMode, StoreFault, WorkerFault};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-use crate::proxy::ProxyMode;
-
 /// Number of faults in a run.
 const FAULT_COUNT: usize = 14;
 
