Log the cause of each connection to an endpoint that fails

Cause: the logs of second1 say connect_failed for an endpoint that is gone, one that is cut off and a path that hangs, so that the forms of a cut cannot be told apart, nor a cut of the instance from the loss of one endpoint.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -7,6 +7,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -258,9 +259,14 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<ConnectionGuard, ExchangeError> {
+        let started_at = Instant::now();
         let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let Ok(Ok(stream)) = connected else {
-            return Err(ExchangeError::NotSent);
+        let stream = match connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
+            Ok(stream) => stream,
+            Err(error) => {
+                log_unreached(address, &error, started_at.elapsed());
+                return Err(ExchangeError::NotSent);
+            }
         };
         stream
             .set_nodelay(true)
@@ -281,6 +287,16 @@
     }
 }
 
+/// Logs a connection that was not established. The cause tells an endpoint that refuses from a path
+/// that drops, and the address whether others fail too.
+fn log_unreached(address: SocketAddr, error: &io::Error, took: Duration) {
+    spdlog::info!("endpoint not reached", kv: {
+        address:,
+        cause:? = error.kind(),
+        took = took.as_millis(),
+    });
+}
+
 type UnsentRequest = Option<Box<Request<Full<Bytes>>>>;
 
 async fn exchange(
