--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -8,7 +8,7 @@
 
 use policy::balance::CallBalancer;
 use policy::catalog::ServiceCatalog;
-use policy::dispatch::placement::{EndpointTarget, PlacementGrant, RunOutcome};
+use policy::dispatch::placement::{EndpointTarget, RunOutcome};
 use policy::ids::{DomainId, EndpointId, Millis, PoolId};
 use policy::outcome::{Refusal, RefusalReason, RetryReason};
 use policy::part_blame::{BlameChange, RunProgress};
@@ -296,23 +296,6 @@
         self.endpoint_view.borrow().unlisted(listed)
     }
 
-    /// Id and address of a known endpoint.
-    pub(crate) fn endpoint_target(&self, endpoint: &EndpointId) -> Option<EndpointTarget> {
-        self.endpoint_view.borrow().target(endpoint)
-    }
-
-    /// The grant with the addresses in this instance's own entries of the endpoints, which may be
-    /// newer than those of the dispatcher.
-    pub(crate) fn with_own_addresses(&self, mut grant: PlacementGrant) -> PlacementGrant {
-        let helpers = grant.helpers.iter_mut().map(|helper| &mut helper.target);
-        for target in std::iter::once(&mut grant.host).chain(helpers) {
-            if let Some(known) = self.endpoint_target(&target.endpoint) {
-                target.address = known.address;
-            }
-        }
-        grant
-    }
-
     /// Whether the endpoint is leaving or was removed recently.
     pub(crate) fn is_departed(&self, endpoint: &EndpointId) -> bool {
         self.endpoint_view.borrow().is_departed(endpoint)
