Send through other instances while the endpoints are cut off

Cause: there was one way to an endpoint, from the instance's own address. Nothing used that peers reached the endpoints, and failures of the cut instance were reported as failures of the endpoints.

Policy tells a cut from a lost endpoint and from a second of silence by what the other instance reaches, and ends the cut by probes. Only the connection takes another way: placement, the one send, retries, quarantine and resumption stay where they were. Reservations of memory go over the same connections. RunOutcome::NoPath says nothing about an endpoint.

--- a/crates/peer/src/dispatch_message.rs
+++ b/crates/peer/src/dispatch_message.rs
@@ -278,7 +278,8 @@
     fn into_schema(self) -> schema::End {
         match self {
             Self::Served => schema::End::Served,
-            Self::CallerLeft => schema::End::CallerLeft,
+            // Neither says anything about the endpoint.
+            Self::CallerLeft | Self::NoPath => schema::End::CallerLeft,
             Self::NotConnected => schema::End::NotConnected,
             Self::Refused => schema::End::Refused,
             Self::Broken => schema::End::Broken,
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -9,6 +9,9 @@
 mod server;
 mod steward_link;
 mod steward_server;
+mod tunnel_link;
+mod tunnel_message;
+mod tunnel_server;
 
 pub use change_link::{ChangeBatch, ChangeHandler, ChangeLink, StoreChange};
 pub use dispatch_message::RunUpdate;
@@ -21,3 +24,6 @@
 pub use server::serve_peers;
 pub use steward_link::StewardLink;
 pub use steward_server::{StewardHandler, serve_instance};
+pub use tunnel_link::{TunnelError, TunnelStream, open_tunnel};
+pub use tunnel_message::TunnelRefusal;
+pub use tunnel_server::{TunnelGuard, TunnelHandler, TunnelTarget, serve_tunnels};
--- /dev/null
+++ b/crates/peer/src/tunnel_link.rs
@@ -0,0 +1,84 @@
+//! Tunnels through other instances to endpoints.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream::{SplitSink, SplitStream, unfold};
+use futures::{SinkExt, Stream, StreamExt};
+use policy::ids::EndpointId;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::io::{CopyToBytes, SinkWriter, StreamReader};
+
+use crate::tunnel_message::{TunnelAnswer, TunnelRefusal, TunnelRequest, broken_off, frame_codec};
+
+type TunnelFrames = Framed<TcpStream, LengthDelimitedCodec>;
+
+type TunnelReader = StreamReader<Pin<Box<dyn Stream<Item = io::Result<Bytes>>>>, Bytes>;
+
+type TunnelWriter = SinkWriter<CopyToBytes<SplitSink<TunnelFrames, Bytes>>>;
+
+/// A connection to an endpoint through another instance. Reading ends with an error unless the
+/// endpoint closed its connection in an orderly way.
+pub type TunnelStream = tokio::io::Join<TunnelReader, TunnelWriter>;
+
+/// Why no tunnel was opened.
+#[derives::tag]
+pub enum TunnelError {
+    /// The instance refused.
+    Refused(TunnelRefusal),
+    /// The instance was not reached, or did not answer in time.
+    Unanswered,
+}
+
+/// Asks the instance at `address` for a tunnel to `endpoint`.
+///
+/// # Errors
+///
+/// If the instance refuses, or has not opened the tunnel within `time_limit`.
+pub async fn open_tunnel(
+    address: SocketAddr,
+    endpoint: &EndpointId,
+    time_limit: Duration,
+) -> Result<TunnelStream, TunnelError> {
+    let opened = timeout(time_limit, request_tunnel(address, endpoint)).await;
+    let answered = opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+    let (frames, answer) = answered.map_err(|_| TunnelError::Unanswered)?;
+    Result::from(answer).map_err(TunnelError::Refused)?;
+    let (sink, frames) = frames.split();
+    let reader: Pin<Box<dyn Stream<Item = io::Result<Bytes>>>> = Box::pin(content(frames));
+    Ok(tokio::io::join(
+        StreamReader::new(reader),
+        SinkWriter::new(CopyToBytes::new(sink)),
+    ))
+}
+
+async fn request_tunnel(
+    address: SocketAddr,
+    endpoint: &EndpointId,
+) -> io::Result<(TunnelFrames, TunnelAnswer)> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let mut frames = Framed::new(stream, frame_codec());
+    let request = serde_json::to_vec(&TunnelRequest::from(endpoint))?;
+    frames.send(Bytes::from(request)).await?;
+    let answer = frames.next().await.ok_or_else(broken_off)??;
+    Ok((frames, serde_json::from_slice(&answer)?))
+}
+
+/// The bytes that the endpoint sends.
+fn content(frames: SplitStream<TunnelFrames>) -> impl Stream<Item = io::Result<Bytes>> {
+    unfold(Some(frames), |frames| async move {
+        let mut frames = frames?;
+        match frames.next().await {
+            Some(Ok(bytes)) if bytes.is_empty() => None,
+            Some(Ok(bytes)) => Some((Ok(bytes.freeze()), Some(frames))),
+            Some(Err(error)) => Some((Err(error), None)),
+            None => Some((Err(broken_off()), None)),
+        }
+    })
+}
--- /dev/null
+++ b/crates/peer/src/tunnel_server.rs
@@ -0,0 +1,113 @@
+//! The side of a tunnel that connects to the endpoint.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::LocalBoxFuture;
+use futures::{Sink, SinkExt, Stream, StreamExt};
+use policy::ids::EndpointId;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+use crate::tunnel_message::{TunnelAnswer, TunnelRefusal, TunnelRequest, broken_off, frame_codec};
+
+/// Largest number of bytes in a frame.
+const BUFFER_BYTES: usize = 16 * 1_024;
+
+/// Limit for the first message.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Counts a tunnel as open until it is dropped.
+pub trait TunnelGuard {}
+
+/// A connection to an endpoint for a tunnel.
+pub struct TunnelTarget {
+    /// The connection.
+    pub stream: TcpStream,
+    /// Dropped at the end of the tunnel.
+    pub guard: Box<dyn TunnelGuard>,
+}
+
+/// Connects to endpoints for other instances.
+pub trait TunnelHandler {
+    /// Connects directly to `endpoint`, never through a tunnel, so that tunnels have one hop.
+    fn connect(
+        &self,
+        endpoint: EndpointId,
+    ) -> LocalBoxFuture<'_, Result<TunnelTarget, TunnelRefusal>>;
+}
+
+/// Serves tunnels on `listener`. Runs on the calling thread and never returns; connections are
+/// spawned on the thread's local task set.
+pub async fn serve_tunnels(listener: TcpListener, handler: Rc<dyn TunnelHandler>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                spdlog::warn!("accept failed", kv: { error: });
+                continue;
+            }
+        };
+        let handler = Rc::clone(&handler);
+        tokio::task::spawn_local(async move {
+            // Both ends notice themselves how a tunnel ended.
+            if let Err(error) = serve_tunnel(stream, handler.as_ref()).await {
+                spdlog::debug!("tunnel broken off", kv: { error: });
+            }
+        });
+    }
+}
+
+async fn serve_tunnel(stream: TcpStream, handler: &dyn TunnelHandler) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut frames = Framed::new(stream, frame_codec());
+    let first = timeout(REQUEST_TIMEOUT, frames.next()).await?;
+    let request: TunnelRequest = serde_json::from_slice(&first.ok_or_else(broken_off)??)?;
+    let connected = handler.connect(EndpointId::from(request)).await;
+    let result = connected.as_ref().map(|_| ()).map_err(|refusal| *refusal);
+    let answer = serde_json::to_vec(&TunnelAnswer::from(result))?;
+    frames.send(Bytes::from(answer)).await?;
+    let Ok(TunnelTarget { stream, guard }) = connected else {
+        return Ok(());
+    };
+    let (reader, writer) = stream.into_split();
+    let (sink, frames) = frames.split();
+    let ended = tokio::select! {
+        sent = send_requests(frames, writer) => sent,
+        answered = send_answers(reader, sink) => answered,
+    };
+    drop(guard);
+    ended
+}
+
+/// Passes on what the instance sends, until it ends the tunnel.
+async fn send_requests(
+    mut frames: impl Stream<Item = io::Result<bytes::BytesMut>> + Unpin,
+    mut endpoint: impl AsyncWrite + Unpin,
+) -> io::Result<()> {
+    while let Some(bytes) = frames.next().await {
+        endpoint.write_all(&bytes?).await?;
+    }
+    Ok(())
+}
+
+/// Passes on what the endpoint sends, and that it has closed the connection in an orderly way.
+async fn send_answers(
+    mut endpoint: impl AsyncRead + Unpin,
+    mut frames: impl Sink<Bytes, Error = io::Error> + Unpin,
+) -> io::Result<()> {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let length = endpoint.read(&mut buffer).await?;
+        frames
+            .send(Bytes::copy_from_slice(&buffer[..length]))
+            .await?;
+        if length == 0 {
+            return Ok(());
+        }
+    }
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -98,7 +98,7 @@
             RunOutcome::Broken => entry.health.failed(FailureKind::RunFailed, now),
             RunOutcome::Refused => entry.health.failed(FailureKind::Full, now),
             // A plain service may fail individual calls by design.
-            RunOutcome::CallerLeft | RunOutcome::Failed => {}
+            RunOutcome::CallerLeft | RunOutcome::NoPath | RunOutcome::Failed => {}
         }
     }
 
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -117,6 +117,9 @@
     /// No connection could be made and nothing was sent. If the report names an endpoint at fault,
     /// the host could not connect to that helper and has not run the request.
     NotConnected,
+    /// The instance has no path to the endpoint, and nothing was sent; this says nothing about the
+    /// endpoint.
+    NoPath,
     /// The endpoint refused the run before starting it, or refused to reserve memory for it.
     Refused,
     /// The endpoint closed the stream early, or sent something that is not a valid answer.
--- a/crates/policy/src/dispatch/pool_dispatcher.rs
+++ b/crates/policy/src/dispatch/pool_dispatcher.rs
@@ -132,7 +132,7 @@
     /// else the host.
     fn record_outcome(&mut self, run: &PlacedRun, report: &RunReport, now: Millis) {
         let kind = match report.outcome {
-            RunOutcome::CallerLeft => return,
+            RunOutcome::CallerLeft | RunOutcome::NoPath => return,
             RunOutcome::Served => {
                 for index in &run.engines {
                     self.endpoints[*index].health.succeeded();
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::ids::{DomainId, Incarnation, InstanceId};
+use crate::tunnel::TunnelHost;
 
 /// Members per failure domain that read the platform's store on behalf of the others.
 const DOMAIN_READERS: usize = 2;
@@ -27,6 +28,8 @@
     pub domain: DomainId,
     /// Address of its listener for other instances.
     pub address: SocketAddr,
+    /// Address of its listener for tunnels; `None` if it serves none.
+    pub tunnel_address: Option<SocketAddr>,
     /// Incarnation of the instance.
     pub incarnation: Incarnation,
     /// Processor capacity, in cores of ordinary speed.
@@ -75,6 +78,20 @@
         self.members.is_empty()
     }
 
+    /// The members that serve tunnels.
+    #[must_use]
+    pub fn tunnel_hosts(&self) -> Vec<TunnelHost> {
+        let host = |(instance, member): (&InstanceId, &FleetMember)| {
+            Some(TunnelHost {
+                instance: instance.clone(),
+                address: member.tunnel_address?,
+                domain: member.domain.clone(),
+                capacity: member.capacity,
+            })
+        };
+        self.members.iter().filter_map(host).collect()
+    }
+
     /// Number of members in a failure domain.
     #[must_use]
     pub fn members_of(&self, domain: &DomainId) -> usize {
--- a/crates/policy/tests/catalog.rs
+++ b/crates/policy/tests/catalog.rs
@@ -283,6 +283,7 @@
             let member = FleetMember {
                 domain: DomainId::new(*domain),
                 address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1),
+                tunnel_address: None,
                 incarnation: Incarnation(*incarnation),
                 capacity: *capacity,
             };
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -7,7 +7,6 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,16 +20,13 @@
 use hyper_util::rt::TokioIo;
 use ntex::http::StatusCode;
 use policy::catalog::RepeatRule;
-use policy::dispatch::placement::RunOutcome;
+use policy::dispatch::placement::{EndpointTarget, RunOutcome};
 use policy::outcome::RetryReason;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 use transport::ExchangeError;
 
-/// Limit for connecting: a few round trips between failure domains. An endpoint that takes longer
-/// is dead, cut off or overloaded.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+use crate::endpoint_connector::{ConnectError, EndpointConnector, OpenConnection, TunnelUse};
 
 /// Longest time for which an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -48,12 +44,15 @@
 /// A request to an endpoint.
 #[derive(Debug)]
 pub struct ForwardRequest<'a> {
-    /// Address of the endpoint.
-    pub address: SocketAddr,
+    /// The endpoint and its address.
+    pub target: &'a EndpointTarget,
+    /// HTTP method.
     pub method: &'a str,
     /// Path and query as sent by the caller.
     pub path_and_query: &'a str,
+    /// Headers for the endpoint.
     pub headers: ntex::http::HeaderMap,
+    /// The complete body.
     pub body: Bytes,
     /// Whether the request may run more than once.
     pub repeat: RepeatRule,
@@ -71,8 +70,8 @@
 ///
 /// Invariant: a request that may run at most once gets a new connection, so that the closing of an
 /// idle connection is never mistaken for a lost answer.
-#[derive(Default)]
 pub struct EndpointConnections {
+    connector: Rc<EndpointConnector>,
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
 }
 
@@ -84,6 +83,9 @@
     task: AbortHandle,
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
     keep_for: Duration,
+    /// The tunnel that the connection uses, if any. Such a connection is not kept, so that the next
+    /// request takes the direct path once that is open again.
+    tunnel: Option<TunnelUse>,
 }
 
 impl Drop for ConnectionGuard {
@@ -100,7 +102,7 @@
         let Some(sender) = self.sender.take() else {
             return;
         };
-        if self.keep_for.is_zero() || sender.is_closed() {
+        if self.keep_for.is_zero() || sender.is_closed() || self.tunnel.is_some() {
             self.task.abort();
             return;
         }
@@ -118,11 +120,28 @@
     }
 }
 
+/// Why a request got no answer.
+#[derives::tag]
+pub enum SendError {
+    /// This instance has no path to the endpoint, and nothing was sent.
+    NoPath,
+    /// The exchange failed.
+    Exchange(ExchangeError),
+}
+
+impl From<ExchangeError> for SendError {
+    fn from(error: ExchangeError) -> Self {
+        Self::Exchange(error)
+    }
+}
+
 /// Head of an endpoint's answer, with its body still to be read.
 pub struct EndpointAnswer {
     pub status: StatusCode,
     pub headers: ntex::http::HeaderMap,
     pub body: AnswerBody,
+    /// Whether the answer comes through a tunnel.
+    pub is_tunnelled: bool,
 }
 
 /// Body of an endpoint's answer.
@@ -196,10 +215,19 @@
 }
 
 impl EndpointConnections {
-    /// Creates an empty pool.
+    /// Creates an empty pool whose connections `connector` opens.
+    #[must_use]
+    pub fn new(connector: Rc<EndpointConnector>) -> Self {
+        Self {
+            connector,
+            idle: Rc::default(),
+        }
+    }
+
+    /// Opens the connections of this pool.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub fn connector(&self) -> &Rc<EndpointConnector> {
+        &self.connector
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -207,25 +235,35 @@
     /// # Errors
     ///
     /// The error states whether any bytes may have been sent.
-    pub async fn send(&self, call: ForwardRequest<'_>) -> Result<EndpointAnswer, ExchangeError> {
+    pub async fn send(&self, call: ForwardRequest<'_>) -> Result<EndpointAnswer, SendError> {
         let mut request = build_request(&call)?;
         if call.repeat == RepeatRule::Repeatable {
-            while let Some(guard) = self.take_idle(call.address) {
+            while let Some(guard) = self.take_idle(call.target.address) {
                 match exchange(guard, request).await {
                     Ok(answer) => return Ok(answer),
                     // The pooled connection was already closed, and nothing was sent.
                     Err((_, Some(unsent))) => request = *unsent,
-                    Err((error, None)) => return Err(error),
+                    Err((error, None)) => return Err(error.into()),
                 }
             }
         }
-        let guard = self.connect(call.address).await?;
-        exchange(guard, request).await.map_err(|(error, _)| error)
+        let guard = self.connect(call.target).await?;
+        let answered = exchange(guard, request).await;
+        answered.map_err(|(error, _)| error.into())
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<ConnectionGuard> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
+        if self.connector.is_cut_off() {
+            // Kept connections may be silent.
+            for (_, connections) in idle.drain() {
+                for kept in connections {
+                    kept.task.abort();
+                }
+            }
+            return None;
+        }
         let connections = idle.get_mut(&address)?;
         while let Some(connection) = connections.pop() {
             if connection.until <= now || !connection.sender.is_ready() {
@@ -238,6 +276,7 @@
                 task: connection.task,
                 idle: Rc::clone(&self.idle),
                 keep_for: Duration::ZERO,
+                tunnel: None,
             });
         }
         None
@@ -258,19 +297,12 @@
         });
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<ConnectionGuard, ExchangeError> {
-        let started_at = Instant::now();
-        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let stream = match connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
-            Ok(stream) => stream,
-            Err(error) => {
-                log_unreached(address, &error, started_at.elapsed());
-                return Err(ExchangeError::NotSent);
-            }
-        };
-        stream
-            .set_nodelay(true)
-            .map_err(|_| ExchangeError::NotSent)?;
+    async fn connect(&self, target: &EndpointTarget) -> Result<ConnectionGuard, SendError> {
+        let opened = self.connector.connect(target).await;
+        let OpenConnection { stream, tunnel } = opened.map_err(|error| match error {
+            ConnectError::EndpointLost => SendError::Exchange(ExchangeError::NotSent),
+            ConnectError::NoPath => SendError::NoPath,
+        })?;
         let handshaken = handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshaken.map_err(|_| ExchangeError::NotSent)?;
         let task = tokio::task::spawn_local(async move {
@@ -278,25 +310,16 @@
             let _ = connection.await;
         });
         Ok(ConnectionGuard {
-            address,
+            address: target.address,
             sender: Some(sender),
             task: task.abort_handle(),
             idle: Rc::clone(&self.idle),
             keep_for: Duration::ZERO,
+            tunnel,
         })
     }
 }
 
-/// Logs a connection that was not established. The cause tells an endpoint that refuses from a path
-/// that drops, and the address whether others fail too.
-fn log_unreached(address: SocketAddr, error: &io::Error, took: Duration) {
-    spdlog::info!("endpoint not reached", kv: {
-        address:,
-        cause:? = error.kind(),
-        took = took.as_millis(),
-    });
-}
-
 type UnsentRequest = Option<Box<Request<Full<Bytes>>>>;
 
 async fn exchange(
@@ -334,7 +357,9 @@
             headers.append(name, value);
         }
     }
+    let is_tunnelled = guard.tunnel.is_some();
     EndpointAnswer {
+        is_tunnelled,
         status: StatusCode::from_u16(head.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY),
         headers,
         body: AnswerBody {
@@ -388,7 +413,11 @@
 
 /// How a failed exchange counts for its endpoint, and the reason for a retry.
 #[must_use]
-pub fn exchange_outcome(error: ExchangeError) -> (RunOutcome, RetryReason) {
+pub fn exchange_outcome(error: SendError) -> (RunOutcome, RetryReason) {
+    let error = match error {
+        SendError::NoPath => return (RunOutcome::NoPath, RetryReason::ConnectFailed),
+        SendError::Exchange(error) => error,
+    };
     match error {
         ExchangeError::NotSent => (RunOutcome::NotConnected, RetryReason::ConnectFailed),
         ExchangeError::Silent => (RunOutcome::Silent, RetryReason::StreamSilent),
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -8,7 +8,7 @@
 
 use policy::balance::CallBalancer;
 use policy::catalog::ServiceCatalog;
-use policy::dispatch::placement::{EndpointTarget, RunOutcome};
+use policy::dispatch::placement::{EndpointTarget, PlacementGrant, RunOutcome};
 use policy::ids::{DomainId, EndpointId, Millis, PoolId};
 use policy::outcome::{Refusal, RefusalReason, RetryReason};
 use policy::part_blame::{BlameChange, RunProgress};
@@ -17,6 +17,7 @@
 use policy::rate_limit::{RateNotice, RateTable, RequestRate};
 use policy::retry::{BudgetLimits, BudgetTable, RetryDecision};
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 use tokio::sync::Notify;
 
@@ -77,7 +78,7 @@
     /// Translates between HTTP headers and request metadata.
     pub dialect: Rc<dyn WireDialect>,
     /// Connection pool for endpoints.
-    pub connections: EndpointConnections,
+    pub connections: Rc<EndpointConnections>,
     /// Runs this instance's own dispatcher.
     pub driver: Rc<DispatcherDriver>,
     /// Sends the placement requests of this instance to a dispatcher.
@@ -161,6 +162,10 @@
     pub fn render_metrics(&self) -> String {
         let steward_losses = i64::try_from(self.placement().steward_losses()).unwrap_or(i64::MAX);
         self.counters.steward_losses.set(steward_losses);
+        let connector = self.connections().connector();
+        let opened_tunnels = i64::try_from(connector.opened_tunnels()).unwrap_or(i64::MAX);
+        self.counters.opened_tunnels.set(opened_tunnels);
+        self.counters.is_cut_off.set(connector.is_cut_off().into());
         self.counters.render()
     }
 
@@ -272,6 +277,10 @@
             return;
         };
         let endpoint_view = self.endpoint_view.borrow();
+        let connector = self.connections().connector();
+        connector.set_endpoints(endpoint_view.len(), |endpoint| {
+            endpoint_view.target(endpoint).is_some()
+        });
         let count = i64::try_from(endpoint_view.len()).unwrap_or(i64::MAX);
         self.counters.endpoints.set(count);
         for service in catalog.services() {
@@ -296,6 +305,33 @@
         self.endpoint_view.borrow().unlisted(listed)
     }
 
+    /// Id and address of a known endpoint.
+    pub(crate) fn endpoint_target(&self, endpoint: &EndpointId) -> Option<EndpointTarget> {
+        self.endpoint_view.borrow().target(endpoint)
+    }
+
+    /// Up to `count` known endpoints other than `endpoint`, chosen at random.
+    pub(crate) fn other_targets(&self, endpoint: &EndpointId, count: usize) -> Vec<EndpointTarget> {
+        let endpoint_view = self.endpoint_view.borrow();
+        let mut random = self.random.borrow_mut();
+        let others = endpoint_view
+            .targets()
+            .filter(|other| other.endpoint != *endpoint);
+        others.cloned().choose_multiple(&mut *random, count)
+    }
+
+    /// The grant with the addresses in this instance's own entries of the endpoints, which may be
+    /// newer than those of the dispatcher.
+    pub(crate) fn with_own_addresses(&self, mut grant: PlacementGrant) -> PlacementGrant {
+        let helpers = grant.helpers.iter_mut().map(|helper| &mut helper.target);
+        for target in std::iter::once(&mut grant.host).chain(helpers) {
+            if let Some(known) = self.endpoint_target(&target.endpoint) {
+                target.address = known.address;
+            }
+        }
+        grant
+    }
+
     /// Whether the endpoint is leaving or was removed recently.
     pub(crate) fn is_departed(&self, endpoint: &EndpointId) -> bool {
         self.endpoint_view.borrow().is_departed(endpoint)
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -36,6 +36,12 @@
     pub failed_store_watches: IntCounter,
     /// How many times a steward was lost.
     pub steward_losses: IntGauge,
+    /// Tunnels to endpoints opened through other instances.
+    pub opened_tunnels: IntGauge,
+    /// Tunnels to endpoints opened for other instances.
+    pub hosted_tunnels: IntCounter,
+    /// 1 while this instance is cut off from the endpoints.
+    pub is_cut_off: IntGauge,
     /// Log records dropped by the logger.
     pub dropped_records: IntGauge,
 }
@@ -81,6 +87,13 @@
             store_watches: counter(&registry, "store_watches_total", "Watches of the store."),
             failed_store_watches: counter(&registry, "store_faults_total", "Watches that failed."),
             steward_losses: gauge(&registry, "steward_losses_total", "Stewards lost."),
+            opened_tunnels: gauge(&registry, "opened_tunnels_total", "Tunnels opened."),
+            hosted_tunnels: counter(
+                &registry,
+                "hosted_tunnels_total",
+                "Tunnels opened for others.",
+            ),
+            is_cut_off: gauge(&registry, "cut_off", "Whether the endpoints are cut off."),
             dropped_records: gauge(&registry, "dropped_log_records", "Log records dropped."),
             registry,
         };
--- /dev/null
+++ b/crates/relay/src/endpoint_connector.rs
@@ -0,0 +1,325 @@
+//! Opens connections to endpoints: directly, or through another instance while the direct path is
+//! blocked.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::future::{Either, join_all, select};
+use futures::stream::FuturesUnordered;
+use peer::{TunnelError, TunnelRefusal, TunnelStream, open_tunnel};
+use policy::dispatch::placement::EndpointTarget;
+use policy::endpoint_path::{PathChange, PathPlan, PathProbe, PathTable};
+use policy::ids::{DomainId, EndpointId, InstanceId};
+use policy::tunnel::{TunnelHost, TunnelTable};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout};
+
+use crate::clock::BootClock;
+
+/// Limit for connecting: a few round trips between failure domains. An endpoint that takes longer
+/// is dead, cut off or overloaded.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Limit for connecting on behalf of another instance, which has waited before.
+const HOSTED_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Limit for connecting to other endpoints, to see whether this instance reaches any.
+const CONTACT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Head start of the direct path before a tunnel, and of a tunnel before the next one. A machine
+/// that has used up its CPU quota may stall for 100 ms.
+const HEAD_START: Duration = Duration::from_millis(120);
+
+/// Limit for the answer of one instance that is asked for a tunnel: both of its limits, and a few
+/// round trips.
+const TUNNEL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Why no connection was opened.
+#[derives::tag]
+pub enum ConnectError {
+    /// The endpoint cannot be reached, as far as is known from anywhere.
+    EndpointLost,
+    /// This instance has no path to the endpoint, which says nothing about it.
+    NoPath,
+}
+
+/// A direct connection, or one through a tunnel.
+pub type EndpointStream = tokio_util::either::Either<TcpStream, TunnelStream>;
+
+/// An open connection to an endpoint.
+pub struct OpenConnection {
+    pub stream: EndpointStream,
+    /// The tunnel that the connection uses, if any.
+    pub tunnel: Option<TunnelUse>,
+}
+
+impl OpenConnection {
+    fn direct(stream: TcpStream) -> Self {
+        Self {
+            stream: EndpointStream::Left(stream),
+            tunnel: None,
+        }
+    }
+}
+
+/// Counts a tunnel through an instance as open until it is dropped.
+pub struct TunnelUse {
+    connector: Rc<EndpointConnector>,
+    instance: InstanceId,
+}
+
+impl Drop for TunnelUse {
+    fn drop(&mut self) {
+        self.connector.tunnels.borrow_mut().closed(&self.instance);
+    }
+}
+
+/// Names the instances that can be asked for tunnels.
+pub trait TunnelDirectory {
+    /// The other instances of the fleet that serve tunnels.
+    fn tunnel_hosts(&self) -> Vec<TunnelHost>;
+}
+
+/// Opens the connections of one instance to endpoints.
+pub struct EndpointConnector {
+    clock: BootClock,
+    paths: RefCell<PathTable>,
+    tunnels: RefCell<TunnelTable>,
+    directory: Rc<dyn TunnelDirectory>,
+    /// Number of known endpoints.
+    endpoints: Cell<usize>,
+    /// Number of tunnels opened so far.
+    opened_tunnels: Cell<u64>,
+}
+
+impl EndpointConnector {
+    /// Creates a connector for an instance in `domain`.
+    #[must_use]
+    pub fn new(clock: BootClock, domain: DomainId, directory: Rc<dyn TunnelDirectory>) -> Self {
+        Self {
+            clock,
+            paths: RefCell::new(PathTable::new()),
+            tunnels: RefCell::new(TunnelTable::new(domain)),
+            directory,
+            endpoints: Cell::new(0),
+            opened_tunnels: Cell::new(0),
+        }
+    }
+
+    /// Whether this instance is cut off from the endpoints.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        self.paths.borrow().is_cut_off()
+    }
+
+    /// Number of tunnels that this instance has opened so far.
+    #[must_use]
+    pub fn opened_tunnels(&self) -> u64 {
+        self.opened_tunnels.get()
+    }
+
+    /// Sets the number of known endpoints, and drops what was found out about others.
+    pub fn set_endpoints(&self, count: usize, is_known: impl Fn(&EndpointId) -> bool) {
+        self.endpoints.set(count);
+        self.paths.borrow_mut().retain(is_known);
+    }
+
+    /// Opens a connection to an endpoint. Nothing is sent on it.
+    ///
+    /// # Errors
+    ///
+    /// If the endpoint is reached on no path.
+    pub async fn connect(
+        self: &Rc<Self>,
+        target: &EndpointTarget,
+    ) -> Result<OpenConnection, ConnectError> {
+        let now = self.clock.now();
+        let plan = self.paths.borrow_mut().plan(&target.endpoint, now);
+        match plan {
+            PathPlan::DirectFirst => self.connect_hedged(target).await,
+            PathPlan::DirectOnly => {
+                let opened = self.connect_directly(target, CONNECT_TIMEOUT).await;
+                let stream = opened.map_err(|_| ConnectError::EndpointLost)?;
+                Ok(OpenConnection::direct(stream))
+            }
+            PathPlan::Tunnel(probe) => {
+                if probe == PathProbe::Due {
+                    self.probe(target);
+                }
+                self.connect_through_tunnel(target).await
+            }
+        }
+    }
+
+    /// Connects directly, and through a tunnel as well if that takes long or fails.
+    async fn connect_hedged(
+        self: &Rc<Self>,
+        target: &EndpointTarget,
+    ) -> Result<OpenConnection, ConnectError> {
+        let mut direct = pin!(self.connect_directly(target, CONNECT_TIMEOUT));
+        match timeout(HEAD_START, &mut direct).await {
+            Ok(Ok(stream)) => return Ok(OpenConnection::direct(stream)),
+            Ok(Err(_)) => return self.connect_through_tunnel(target).await,
+            Err(_) => {}
+        }
+        let tunnel = pin!(self.connect_through_tunnel(target));
+        match select(direct, tunnel).await {
+            Either::Left((Ok(stream), _)) => Ok(OpenConnection::direct(stream)),
+            Either::Left((Err(_), tunnel)) => tunnel.await,
+            Either::Right((Ok(opened), _)) => Ok(opened),
+            Either::Right((Err(error), direct)) => {
+                direct.await.map(OpenConnection::direct).map_err(|_| error)
+            }
+        }
+    }
+
+    /// Connects directly within `time_limit`.
+    pub(crate) async fn connect_directly(
+        &self,
+        target: &EndpointTarget,
+        time_limit: Duration,
+    ) -> io::Result<TcpStream> {
+        let EndpointTarget { endpoint, address } = target;
+        let started_at = Instant::now();
+        let connected = timeout(time_limit, open_stream(*address)).await;
+        match connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
+            Ok(stream) => {
+                let now = self.clock.now();
+                let change = self.paths.borrow_mut().direct_opened(endpoint, now);
+                log_change(change);
+                Ok(stream)
+            }
+            Err(error) => {
+                let now = self.clock.now();
+                self.paths.borrow_mut().direct_failed(endpoint, now);
+                spdlog::info!("endpoint not reached", kv: {
+                    endpoint = endpoint.as_str(),
+                    address: = *address,
+                    cause:? = error.kind(),
+                    took = started_at.elapsed().as_millis(),
+                });
+                Err(error)
+            }
+        }
+    }
+
+    /// Probes the direct path to an endpoint beside a request.
+    fn probe(self: &Rc<Self>, target: &EndpointTarget) {
+        let (connector, target) = (Rc::clone(self), target.clone());
+        tokio::task::spawn_local(async move {
+            // The findings are what the probe is for.
+            let _ = connector.connect_directly(&target, CONNECT_TIMEOUT).await;
+        });
+    }
+
+    /// Asks other instances for a tunnel, one after the other, until one opens it or says that the
+    /// endpoint is lost.
+    async fn connect_through_tunnel(
+        self: &Rc<Self>,
+        target: &EndpointTarget,
+    ) -> Result<OpenConnection, ConnectError> {
+        let hosts = self.directory.tunnel_hosts();
+        let chosen = self.tunnels.borrow_mut().choose(&hosts, self.clock.now());
+        let mut hosts = chosen.into_iter();
+        let mut requests = FuturesUnordered::new();
+        loop {
+            if let Some(host) = hosts.next() {
+                requests.push(ask_for_tunnel(host, &target.endpoint));
+            } else if requests.is_empty() {
+                break;
+            }
+            let Ok(Some((host, answer))) = timeout(HEAD_START, requests.next()).await else {
+                continue;
+            };
+            match answer {
+                Ok(stream) => return Ok(self.tunnel_opened(&host.instance, target, stream)),
+                Err(TunnelError::Refused(TunnelRefusal::EndpointUnreachable)) => {
+                    let now = self.clock.now();
+                    self.paths.borrow_mut().endpoint_lost(&target.endpoint, now);
+                    return Err(ConnectError::EndpointLost);
+                }
+                Err(TunnelError::Refused(TunnelRefusal::UnknownEndpoint)) => {}
+                Err(TunnelError::Refused(TunnelRefusal::Unavailable) | TunnelError::Unanswered) => {
+                    let now = self.clock.now();
+                    self.tunnels.borrow_mut().failed(&host.instance, now);
+                }
+            }
+        }
+        if self.paths.borrow().may_be_cut_off(self.clock.now()) {
+            return Err(ConnectError::NoPath);
+        }
+        Err(ConnectError::EndpointLost)
+    }
+
+    fn tunnel_opened(
+        self: &Rc<Self>,
+        instance: &InstanceId,
+        target: &EndpointTarget,
+        stream: TunnelStream,
+    ) -> OpenConnection {
+        let now = self.clock.now();
+        let endpoints = self.endpoints.get();
+        let change = self
+            .paths
+            .borrow_mut()
+            .tunnel_opened(&target.endpoint, endpoints, now);
+        log_change(change);
+        self.tunnels.borrow_mut().opened(instance);
+        self.opened_tunnels.set(self.opened_tunnels.get() + 1);
+        OpenConnection {
+            stream: EndpointStream::Right(stream),
+            tunnel: Some(TunnelUse {
+                connector: Rc::clone(self),
+                instance: instance.clone(),
+            }),
+        }
+    }
+
+    /// Connects to `target` for another instance. `others` are some other endpoints, which tell a
+    /// lost endpoint from a cut of this instance.
+    pub(crate) async fn connect_for_peer(
+        &self,
+        target: &EndpointTarget,
+        others: &[EndpointTarget],
+    ) -> Result<TcpStream, TunnelRefusal> {
+        if let Ok(stream) = self.connect_directly(target, HOSTED_CONNECT_TIMEOUT).await {
+            return Ok(stream);
+        }
+        let contacts = others
+            .iter()
+            .map(|other| self.connect_directly(other, CONTACT_TIMEOUT));
+        if join_all(contacts).await.iter().any(Result::is_ok) {
+            return Err(TunnelRefusal::EndpointUnreachable);
+        }
+        Err(TunnelRefusal::Unavailable)
+    }
+}
+
+async fn open_stream(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+async fn ask_for_tunnel(
+    host: TunnelHost,
+    endpoint: &EndpointId,
+) -> (TunnelHost, Result<TunnelStream, TunnelError>) {
+    let answer = open_tunnel(host.address, endpoint, TUNNEL_TIMEOUT).await;
+    (host, answer)
+}
+
+fn log_change(change: PathChange) {
+    match change {
+        PathChange::CutOff => {
+            spdlog::warn!("cut off from endpoints; sending through other instances");
+        }
+        PathChange::Restored => spdlog::info!("endpoints reached directly again"),
+        PathChange::Same => {}
+    }
+}
--- a/crates/relay/src/endpoint_view.rs
+++ b/crates/relay/src/endpoint_view.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use policy::dispatch::placement::{EndpointInfo, EndpointState};
+use policy::dispatch::placement::{EndpointInfo, EndpointState, EndpointTarget};
 use policy::ids::{EndpointId, Millis, PoolId};
 
 /// Time after the store recovers in which an endpoint whose entry is missing may register again, in
@@ -231,6 +231,18 @@
         departure.is_some_and(|departure| !departure.is_announced)
     }
 
+    /// Id and address of an endpoint, if it is known.
+    #[must_use]
+    pub fn target(&self, endpoint: &EndpointId) -> Option<EndpointTarget> {
+        let entry = self.endpoints.get(endpoint)?;
+        Some(entry.info.target.clone())
+    }
+
+    /// Ids and addresses of the known endpoints.
+    pub fn targets(&self) -> impl Iterator<Item = &EndpointTarget> {
+        self.endpoints.values().map(|entry| &entry.info.target)
+    }
+
     /// The endpoints of one pool.
     #[must_use]
     pub fn in_pool(&self, pool: &PoolId) -> Vec<EndpointInfo> {
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -37,10 +37,10 @@
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 /// Counts a request as in flight until it is dropped.
-struct InFlightGuard(Rc<RelayCore>);
+pub(crate) struct InFlightGuard(Rc<RelayCore>);
 
 impl InFlightGuard {
-    fn new(core: &Rc<RelayCore>) -> Self {
+    pub(crate) fn new(core: &Rc<RelayCore>) -> Self {
         core.counters().in_flight.inc();
         Self(Rc::clone(core))
     }
@@ -227,6 +227,7 @@
             endpoints = trace.endpoints_text().as_str(),
             helpers = trace.helpers.get(),
             retries = trace.retries.get(),
+            tunnels = trace.tunnels.get(),
             queued = trace.queued.get(),
             expected = trace.expected.get(),
             first_event = trace.first_event.get().unwrap_or(0),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod counters;
 mod crash_registry;
 mod dialect;
+mod endpoint_connector;
 mod endpoint_view;
 mod events;
 mod forwarded_store;
@@ -24,9 +25,10 @@
 mod reservation;
 mod server;
 mod stream;
+mod tunnel_host;
 
 pub use crate::answer::{RelayFailure, WholeAnswer};
-pub use crate::connections::EndpointConnections;
+pub use crate::connections::{EndpointConnections, ForwardRequest, SendError};
 pub use crate::core::{RelayCore, RelayDependencies, RelayPhase};
 pub use crate::counters::RelayCounters;
 pub use crate::crash_registry::{CrashNotice, CrashRegistry, QuarantineCause};
@@ -34,6 +36,7 @@
     AnswerHead, AnswerSignature, CallerHead, ForwardHead, ForwardHelper, LeavingStatement,
     PromptSize, RunStatement, WireDialect,
 };
+pub use crate::endpoint_connector::{ConnectError, EndpointConnector, TunnelDirectory};
 pub use crate::endpoint_view::{EndpointView, ViewChange};
 pub use crate::events::{EventSplitter, EventTooLarge, WholeEvent, is_after};
 pub use crate::forwarded_store::{ChangeSource, ForwardedStore};
@@ -45,3 +48,4 @@
     MemoryClient, MemoryReservation, ReleaseOutcome, ReserveOutcome, reservation_ttl,
 };
 pub use crate::server::{bind, serve_callers, serve_probes};
+pub use crate::tunnel_host::EndpointTunnelHost;
--- a/crates/relay/src/placement_router/members.rs
+++ b/crates/relay/src/placement_router/members.rs
@@ -4,9 +4,11 @@
 
 use policy::fleet::FleetMember;
 use policy::ids::{InstanceId, Millis};
+use policy::tunnel::TunnelHost;
 
 use super::PlacementRouter;
 use super::steward_session::StewardScope;
+use crate::endpoint_connector::TunnelDirectory;
 
 /// Largest number of members that are ineligible at the same time. Three cover a lost steward, its
 /// successor and a member that is restarting; if more fail, this instance itself is cut off, and
@@ -21,6 +23,14 @@
 /// about the duration of a restart, so that most are tried again when they serve.
 const INELIGIBLE_TIME: Millis = 2_000;
 
+impl TunnelDirectory for PlacementRouter {
+    fn tunnel_hosts(&self) -> Vec<TunnelHost> {
+        let mut hosts = self.membership.borrow().tunnel_hosts();
+        hosts.retain(|host| host.instance != self.instance);
+        hosts
+    }
+}
+
 impl PlacementRouter {
     /// Adds a member or replaces its entry.
     pub fn put_member(&self, instance: InstanceId, member: FleetMember) {
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -14,7 +14,7 @@
 use transport::ExchangeError;
 
 use crate::answer::{RelayFailure, WholeAnswer, strip_connection_headers};
-use crate::connections::{ForwardRequest, exchange_outcome};
+use crate::connections::{ForwardRequest, SendError, exchange_outcome};
 use crate::core::{RelayCore, RunFailure};
 use crate::dialect::{AnswerSignature, ForwardHead, LeavingStatement, RunStatement};
 use crate::request::RelayRequest;
@@ -189,7 +189,7 @@
     let is_allowed = error.ran == MayHaveRun::No
         || (route.repeat == RepeatRule::Repeatable && runs < route.attempts);
     // A call that was never sent reached no endpoint and does not use up the retry budget.
-    let costs_retry = error.outcome != RunOutcome::NotConnected;
+    let costs_retry = !matches!(error.outcome, RunOutcome::NotConnected | RunOutcome::NoPath);
     is_allowed && tries < MAX_TRIES && (!costs_retry || core.try_spend_retry(&request.service))
 }
 
@@ -259,7 +259,7 @@
         resume_after: None,
     };
     let call = ForwardRequest {
-        address: guard.target.address,
+        target: &guard.target,
         method: request.method.as_str(),
         path_and_query: &request.path_and_query,
         headers: request.forward_headers(core.dialect(), &head),
@@ -270,6 +270,9 @@
     endpoints.borrow_mut().push(guard.target.endpoint.clone());
     let exchange = async {
         let answer = core.connections().send(call).await?;
+        if answer.is_tunnelled {
+            request.trace.tunnels.set(request.trace.tunnels.get() + 1);
+        }
         let mut headers = answer.headers;
         strip_connection_headers(&mut headers);
         let max_bytes = request.catalog.bounds().body_bytes;
@@ -281,15 +284,15 @@
     };
     let timed = tokio::time::timeout(Duration::from_millis(timeout), exchange).await;
     let answer = timed
-        .unwrap_or(Err(ExchangeError::Silent))
+        .unwrap_or(Err(ExchangeError::Silent.into()))
         .map_err(exchange_error)?;
     validate_answer(core, request, guard, answer)
 }
 
-fn exchange_error(error: ExchangeError) -> CallError {
+fn exchange_error(error: SendError) -> CallError {
     let (outcome, reason) = exchange_outcome(error);
     let ran = match outcome {
-        RunOutcome::NotConnected => MayHaveRun::No,
+        RunOutcome::NotConnected | RunOutcome::NoPath => MayHaveRun::No,
         _ => MayHaveRun::Yes,
     };
     CallError::new(outcome, ran, reason)
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -78,6 +78,8 @@
     pub endpoints: RefCell<Vec<EndpointId>>,
     /// Largest number of helpers in one placement.
     pub helpers: Cell<usize>,
+    /// Number of tunnels that it was sent through.
+    pub tunnels: Cell<u32>,
     /// Number of retries.
     pub retries: Cell<u32>,
     /// Total time spent waiting for placements, in milliseconds.
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use futures::future::{LocalBoxFuture, join_all};
-use policy::dispatch::placement::HelperGrant;
+use policy::dispatch::placement::{EndpointTarget, HelperGrant};
 use tokio::task::AbortHandle;
 
 /// Time to live of a reservation as a share of the time for which unused memory may stay reserved.
@@ -75,7 +75,7 @@
     /// Reserves `tokens` under `id` for `ttl` milliseconds, or renews the reservation.
     fn reserve<'a>(
         &'a self,
-        address: SocketAddr,
+        engine: &'a EndpointTarget,
         id: &'a str,
         tokens: u64,
         ttl: u64,
@@ -84,14 +84,14 @@
     /// Releases the memory reserved under `id`.
     fn release<'a>(
         &'a self,
-        address: SocketAddr,
+        engine: &'a EndpointTarget,
         id: &'a str,
     ) -> LocalBoxFuture<'a, ReleaseOutcome>;
 }
 
 /// Reservation on one engine.
 struct ReservedPart {
-    address: SocketAddr,
+    engine: EndpointTarget,
     id: String,
     tokens: u64,
     /// Whether a request to reserve the memory went unanswered.
@@ -100,7 +100,7 @@
 
 impl ReservedPart {
     async fn reserve(&self, client: &dyn MemoryClient, ttl: u64) -> ReserveOutcome {
-        let request = client.reserve(self.address, &self.id, self.tokens, ttl);
+        let request = client.reserve(&self.engine, &self.id, self.tokens, ttl);
         let answer = tokio::time::timeout(REQUEST_TIMEOUT, request).await;
         let outcome = answer.unwrap_or(ReserveOutcome::Unanswered);
         if outcome == ReserveOutcome::Unanswered {
@@ -115,12 +115,12 @@
                 return;
             }
         }
-        spdlog::info!("memory not renewed", kv: { id = self.id.as_str(), address: = self.address });
+        spdlog::info!("memory not renewed", kv: { id = self.id.as_str(), address: = self.engine.address });
     }
 
     async fn release(&self, client: &dyn MemoryClient) {
         for _ in 0..RELEASE_TRIES {
-            let request = client.release(self.address, &self.id);
+            let request = client.release(&self.engine, &self.id);
             let answer = tokio::time::timeout(REQUEST_TIMEOUT, request).await;
             if matches!(answer, Ok(ReleaseOutcome::Released)) {
                 return;
@@ -129,7 +129,7 @@
         }
         spdlog::warn!("memory not released", kv: {
             id = self.id.as_str(),
-            address: = self.address,
+            address: = self.engine.address,
             tokens = self.tokens,
         });
     }
@@ -165,7 +165,7 @@
             .filter(|helper| helper.reserved_tokens > 0)
             .enumerate()
             .map(|(part, helper)| ReservedPart {
-                address: helper.target.address,
+                engine: helper.target.clone(),
                 id: format!("{id}-{part}"),
                 tokens: helper.reserved_tokens,
                 is_uncertain: Cell::new(false),
@@ -184,7 +184,7 @@
             .iter()
             .position(|outcome| *outcome != ReserveOutcome::Reserved);
         if let Some(part) = refused {
-            return Err(reservation.parts[part].address);
+            return Err(reservation.parts[part].engine.address);
         }
         reservation.start_renewal(ttl);
         Ok(reservation)
@@ -193,7 +193,10 @@
     /// Id of the reservation on the engine at `address`; `None` if nothing is reserved there.
     #[must_use]
     pub fn id_at(&self, address: SocketAddr) -> Option<String> {
-        let part = self.parts.iter().find(|part| part.address == address)?;
+        let part = self
+            .parts
+            .iter()
+            .find(|part| part.engine.address == address)?;
         Some(part.id.clone())
     }
 
--- a/crates/relay/src/stream/placing.rs
+++ b/crates/relay/src/stream/placing.rs
@@ -59,7 +59,7 @@
                 self.core
                     .admit_run(&self.request)
                     .map_err(|refusal| self.quarantine_failure(refusal))?;
-                Ok((guard, grant))
+                Ok((guard, self.core.with_own_addresses(grant)))
             }
             Ok(PlacementDecision::Refused(refusal))
                 if refusal.reason == RefusalReason::Quarantined =>
--- a/crates/relay/src/stream/run_error.rs
+++ b/crates/relay/src/stream/run_error.rs
@@ -26,7 +26,7 @@
     pub(super) fn new(outcome: RunOutcome, reason: RetryReason) -> Self {
         Self {
             report: RunReport::new(outcome),
-            delivery: if outcome == RunOutcome::NotConnected {
+            delivery: if matches!(outcome, RunOutcome::NotConnected | RunOutcome::NoPath) {
                 RequestDelivery::Undelivered
             } else {
                 RequestDelivery::Delivered
@@ -40,7 +40,7 @@
     pub(super) fn may_have_run(&self) -> bool {
         !matches!(
             self.report.outcome,
-            RunOutcome::NotConnected | RunOutcome::Refused
+            RunOutcome::NotConnected | RunOutcome::NoPath | RunOutcome::Refused
         )
     }
 }
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -156,6 +156,10 @@
     ) -> Result<(EventStream, StreamHead), RunError> {
         let sent_at = self.core.now();
         let answer = self.send(grant, reservation).await?;
+        if answer.is_tunnelled {
+            let tunnels = &self.request.trace.tunnels;
+            tunnels.set(tunnels.get() + 1);
+        }
         let (body, head) = self.validate_head(grant, answer, sent_at).await?;
         let mut stream = EventStream::new(body);
         while stream.events.is_empty() && !stream.is_ended {
@@ -184,7 +188,7 @@
             resume_after: self.last_event.as_deref(),
         };
         let call = ForwardRequest {
-            address: grant.host.address,
+            target: &grant.host,
             method: request.method.as_str(),
             path_and_query: &request.path_and_query,
             headers: request.forward_headers(self.core.dialect(), &head),
--- a/crates/relay/tests/forwarded_store.rs
+++ b/crates/relay/tests/forwarded_store.rs
@@ -142,6 +142,7 @@
         let member = FleetMember {
             domain: domain.clone(),
             address: *address,
+            tunnel_address: None,
             incarnation: Incarnation(1),
             capacity: 1.0,
         };
--- a/crates/relay/tests/placement_router.rs
+++ b/crates/relay/tests/placement_router.rs
@@ -105,6 +105,7 @@
             let member = FleetMember {
                 domain: DomainId::new(other.domain),
                 address: other.address,
+                tunnel_address: None,
                 incarnation: Incarnation(1),
                 capacity: other.capacity,
             };
--- a/crates/relay/tests/reservation.rs
+++ b/crates/relay/tests/reservation.rs
@@ -53,11 +53,12 @@
 impl MemoryClient for FakeEngines {
     fn reserve<'a>(
         &'a self,
-        at: SocketAddr,
+        engine: &'a EndpointTarget,
         id: &'a str,
         _tokens: u64,
         ttl: u64,
     ) -> LocalBoxFuture<'a, ReserveOutcome> {
+        let at = engine.address;
         let behaviour = self.behaviour(at);
         let table = Rc::clone(&self.table);
         let key = (at, id.to_owned());
@@ -90,8 +91,12 @@
         .boxed_local()
     }
 
-    fn release<'a>(&'a self, at: SocketAddr, id: &'a str) -> LocalBoxFuture<'a, ReleaseOutcome> {
-        let key = (at, id.to_owned());
+    fn release<'a>(
+        &'a self,
+        engine: &'a EndpointTarget,
+        id: &'a str,
+    ) -> LocalBoxFuture<'a, ReleaseOutcome> {
+        let key = (engine.address, id.to_owned());
         async move {
             self.table.borrow_mut().active.remove(&key);
             ReleaseOutcome::Released
