Count a tunnel as evidence of a blocked path only if the path has just failed

From the logs: tunnels that had been asked for before the probes ended the cut opened after it and marked paths as blocked again, so that the instance was cut off for another 0.7 s, and requests to a marked endpoint failed once the others were cut off in turn.

Only a connection whose direct path failed or took long is evidence now, and while no tunnel opens the direct path is tried.

--- a/crates/policy/src/endpoint_path.rs
+++ b/crates/policy/src/endpoint_path.rs
@@ -157,14 +157,9 @@
         }
     }
 
-    /// Records that another instance reached an endpoint that this one did not. `endpoints` is the
-    /// number of all endpoints.
-    pub fn tunnel_opened(
-        &mut self,
-        endpoint: &EndpointId,
-        endpoints: usize,
-        now: Millis,
-    ) -> PathChange {
+    /// Records that another instance reached an endpoint that this one has just failed to reach.
+    /// `endpoints` is the number of all endpoints.
+    pub fn bypassed(&mut self, endpoint: &EndpointId, endpoints: usize, now: Millis) -> PathChange {
         let findings = self.findings.entry(endpoint.clone()).or_default();
         findings.blocked_at = Some(now);
         findings.lost_at = None;
--- a/crates/policy/tests/endpoint_path.rs
+++ b/crates/policy/tests/endpoint_path.rs
@@ -16,7 +16,7 @@
     let mut change = PathChange::Same;
     for number in numbers {
         table.direct_failed(&endpoint(number), now);
-        change = table.tunnel_opened(&endpoint(number), ENDPOINTS, now);
+        change = table.bypassed(&endpoint(number), ENDPOINTS, now);
     }
     change
 }
@@ -34,8 +34,8 @@
 #[test]
 fn all_paths_of_a_small_pool_are_a_cut() {
     let mut table = PathTable::new();
-    assert_eq!(table.tunnel_opened(&endpoint(0), 2, 10), PathChange::Same);
-    assert_eq!(table.tunnel_opened(&endpoint(1), 2, 10), PathChange::CutOff);
+    assert_eq!(table.bypassed(&endpoint(0), 2, 10), PathChange::Same);
+    assert_eq!(table.bypassed(&endpoint(1), 2, 10), PathChange::CutOff);
 }
 
 #[test]
--- a/crates/relay/src/endpoint_connector.rs
+++ b/crates/relay/src/endpoint_connector.rs
@@ -151,11 +151,25 @@
                 if probe == PathProbe::Due {
                     self.probe(target);
                 }
-                self.connect_through_tunnel(target).await
+                match self.connect_through_tunnel(target).await {
+                    Ok(opened) => Ok(opened),
+                    // The direct path may be open again.
+                    Err(error) => self.connect_instead(target, error).await,
+                }
             }
         }
     }
 
+    /// Connects directly after other paths have failed with `error`.
+    async fn connect_instead(
+        &self,
+        target: &EndpointTarget,
+        error: ConnectError,
+    ) -> Result<OpenConnection, ConnectError> {
+        let opened = self.connect_directly(target, CONNECT_TIMEOUT).await;
+        opened.map(OpenConnection::direct).map_err(|_| error)
+    }
+
     /// Connects directly, and through a tunnel as well if that takes long or fails.
     async fn connect_hedged(
         self: &Rc<Self>,
@@ -164,10 +178,10 @@
         let mut direct = pin!(self.connect_directly(target, CONNECT_TIMEOUT));
         match timeout(HEAD_START, &mut direct).await {
             Ok(Ok(stream)) => return Ok(OpenConnection::direct(stream)),
-            Ok(Err(_)) => return self.connect_through_tunnel(target).await,
+            Ok(Err(_)) => return self.bypass(target).await,
             Err(_) => {}
         }
-        let tunnel = pin!(self.connect_through_tunnel(target));
+        let tunnel = pin!(self.bypass(target));
         match select(direct, tunnel).await {
             Either::Left((Ok(stream), _)) => Ok(OpenConnection::direct(stream)),
             Either::Left((Err(_), tunnel)) => tunnel.await,
@@ -178,6 +192,19 @@
         }
     }
 
+    /// Connects through a tunnel to an endpoint whose direct path has failed or takes long, which
+    /// shows that the path is blocked.
+    async fn bypass(
+        self: &Rc<Self>,
+        target: &EndpointTarget,
+    ) -> Result<OpenConnection, ConnectError> {
+        let opened = self.connect_through_tunnel(target).await?;
+        let (now, endpoints) = (self.clock.now(), self.endpoints.get());
+        let mut paths = self.paths.borrow_mut();
+        log_change(paths.bypassed(&target.endpoint, endpoints, now));
+        Ok(opened)
+    }
+
     /// Connects directly within `time_limit`.
     pub(crate) async fn connect_directly(
         &self,
@@ -237,7 +264,7 @@
                 continue;
             };
             match answer {
-                Ok(stream) => return Ok(self.tunnel_opened(&host.instance, target, stream)),
+                Ok(stream) => return Ok(self.tunnel_opened(&host.instance, stream)),
                 Err(TunnelError::Refused(TunnelRefusal::EndpointUnreachable)) => {
                     let now = self.clock.now();
                     self.paths.borrow_mut().endpoint_lost(&target.endpoint, now);
@@ -259,16 +286,8 @@
     fn tunnel_opened(
         self: &Rc<Self>,
         instance: &InstanceId,
-        target: &EndpointTarget,
         stream: TunnelStream,
     ) -> OpenConnection {
-        let now = self.clock.now();
-        let endpoints = self.endpoints.get();
-        let change = self
-            .paths
-            .borrow_mut()
-            .tunnel_opened(&target.endpoint, endpoints, now);
-        log_change(change);
         self.tunnels.borrow_mut().opened(instance);
         self.opened_tunnels.set(self.opened_tunnels.get() + 1);
         OpenConnection {
