Count blocked paths towards a cut however far apart they were found

paths_that_are_found_blocked_one_after_the_other_are_a_cut failed before. A path stays blocked until a probe succeeds, and any contact starts the count anew.

--- a/crates/policy/src/endpoint_path.rs
+++ b/crates/policy/src/endpoint_path.rs
@@ -9,8 +9,8 @@
 
 use crate::ids::{EndpointId, Millis};
 
-/// Time for which a path that was found blocked, or a lost endpoint, is remembered, in
-/// milliseconds.
+/// Time for which a failure, or a lost endpoint, is remembered, in milliseconds. A blocked path is
+/// blocked until a probe succeeds.
 const FINDING_TIME: Millis = 2_000;
 
 /// Number of endpoints with blocked paths that show that the instance is cut off; all of them if
@@ -168,8 +168,7 @@
         }
         let contact_at = self.contact_at;
         let is_blocked = |findings: &&EndpointFindings| {
-            let blocked_at = findings.blocked_at;
-            is_recent(blocked_at, now) && blocked_at > contact_at
+            findings.blocked_at.is_some_and(|at| Some(at) > contact_at)
         };
         let blocked = self.findings.values().filter(is_blocked).count();
         if blocked < CUT_ENDPOINTS.min(endpoints.max(1)) {
--- a/crates/policy/tests/endpoint_path.rs
+++ b/crates/policy/tests/endpoint_path.rs
@@ -31,6 +31,15 @@
     assert!(matches!(table.plan(&endpoint(7), 30), PathPlan::Tunnel(_)));
 }
 
+#[test]
+fn paths_that_are_found_blocked_one_after_the_other_are_a_cut() {
+    let mut table = PathTable::new();
+    table.direct_opened(&endpoint(9), 0);
+    assert_eq!(block(&mut table, 0..1, 10), PathChange::Same);
+    assert_eq!(block(&mut table, 1..2, 4_000), PathChange::Same);
+    assert_eq!(block(&mut table, 2..3, 8_000), PathChange::CutOff);
+}
+
 #[test]
 fn all_paths_of_a_small_pool_are_a_cut() {
     let mut table = PathTable::new();
