Soak: instances that are cut off from all endpoints

Each daemon has paths of its own to the endpoints. Two cuts a run overlap the other faults, of one daemon or of a failure domain: open connections live on while new ones are refused, are reset, or hang. After the faults, one more cut is checked as the rule does: two thirds of what the others serve, or few failures.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,7 +8,7 @@
 mod schedule;
 
 pub use run::{SoakReport, run_seed};
-pub use schedule::{FaultTime, SoakFault, SoakSize, draw_schedule};
+pub use schedule::{CutScope, FaultTime, SoakFault, SoakSize, draw_schedule};
 
 /// `Host` header that callers send.
 pub const HOST: &str = "kitchen.example";
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -11,7 +11,8 @@
 
 use adapter_standin::{
     ConfigFixture, CrashPlan, CrashPoint, CrashTrigger, FaultProxy, ProxyMode, ResponsePlan,
-    RouteFixture, RunRecord, ServiceFixture, StoreFault, StoreStandin, WorkerFault, WorkerStandin,
+    RouteFixture, RunRecord, ServiceFixture, StoreFault, StoreStandin, StoreView, WorkerFault,
+    WorkerStandin,
 };
 use futures::future::join_all;
 use ntex::http::StatusCode;
@@ -22,7 +23,7 @@
 use crate::caller::{CRASHING_BODY, CRASHING_PART, CallKind, CallOutcome, CallRecord, SoakCaller};
 use crate::check::{Violation, check_calls};
 use crate::daemon::{DaemonSignal, SoakDaemon};
-use crate::schedule::{FaultTime, SoakFault, SoakSize, draw_schedule};
+use crate::schedule::{CutScope, DOMAIN_COUNT, FaultTime, SoakFault, SoakSize, draw_schedule};
 
 /// Number of events in a stream.
 const EVENT_COUNT: u64 = 6;
@@ -31,6 +32,9 @@
 /// soak polls daemons.
 const EVENT_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Names of the failure domains.
+const DOMAINS: [&str; DOMAIN_COUNT] = ["near", "far"];
+
 /// Number of callers of each daemon.
 const CALLERS_PER_DAEMON: usize = 3;
 
@@ -64,6 +68,10 @@
     store: StoreStandin,
     daemons: RefCell<Vec<SoakDaemon>>,
     store_paths: Vec<FaultProxy>,
+    /// Views of the store in which each daemon sees its own paths to the endpoints.
+    _views: Vec<StoreView>,
+    /// Paths of each daemon to the endpoints, in front of `endpoint_paths`.
+    daemon_paths: Vec<Vec<FaultProxy>>,
     /// Engines, followed by the endpoints of the plain service.
     endpoints: Vec<WorkerStandin>,
     endpoint_paths: Vec<FaultProxy>,
@@ -72,6 +80,7 @@
     /// Kind of the calls that crash endpoints.
     crashing_kind: CallKind,
     size: SoakSize,
+    seed: u64,
     /// Version of the newest configuration.
     version: Cell<u64>,
     calls: RefCell<Vec<CallRecord>>,
@@ -114,6 +123,7 @@
     join_all(callers).await;
     crashing.await?;
     environment.check_crashing_calls(&mut violations).await;
+    environment.check_cut(&mut violations).await;
     environment.check_limits(&mut violations).await;
     environment.check_leaving(&mut violations).await;
     restarting.abort();
@@ -164,9 +174,21 @@
         }
         let mut daemons = Vec::new();
         let mut store_paths = Vec::new();
+        let mut daemon_paths = Vec::new();
+        let mut views = Vec::new();
         for index in 0..size.daemons {
-            let path = FaultProxy::new(Ipv4Addr::LOCALHOST, store.address()).await?;
-            let domain = ["near", "far"][index % 2];
+            let view = store.view(any);
+            let mut paths = Vec::new();
+            for endpoint_path in &endpoint_paths {
+                let shared = endpoint_path.address();
+                let own = FaultProxy::new(Ipv4Addr::LOCALHOST, shared).await?;
+                view.replace_address(shared, own.address());
+                paths.push(own);
+            }
+            let path = FaultProxy::new(Ipv4Addr::LOCALHOST, view.address()).await?;
+            daemon_paths.push(paths);
+            views.push(view);
+            let domain = DOMAINS[index % DOMAIN_COUNT];
             let name = format!("entry-{index}");
             daemons.push(SoakDaemon::new(
                 program,
@@ -181,6 +203,9 @@
             store,
             daemons: RefCell::new(daemons),
             store_paths,
+            _views: views,
+            daemon_paths,
+            seed,
             registered: RefCell::new(vec![String::new(); endpoints.len()]),
             endpoint_paths,
             endpoints,
@@ -204,7 +229,7 @@
         } else {
             "orders"
         };
-        let domain = ["near", "far"][index % 2];
+        let domain = DOMAINS[index % DOMAIN_COUNT];
         let address = self.endpoint_paths[index].address();
         let endpoint = &self.endpoints[index];
         let entry = endpoint.entry_at(service, domain, state, address);
@@ -344,6 +369,11 @@
                 tokio::time::sleep(length).await;
                 self.register(endpoint, "ready");
             }
+            SoakFault::Cut(scope, mode) => {
+                self.set_cut(scope, mode);
+                tokio::time::sleep(length).await;
+                self.set_cut(scope, ProxyMode::Pass);
+            }
             SoakFault::Configure => self.publish_config(),
             SoakFault::Limit(endpoint, per_second) => {
                 self.endpoints[endpoint].set_rate_limit(Some(per_second.into()));
@@ -353,6 +383,17 @@
         }
     }
 
+    /// Sets the mode of the paths from the daemons of `scope` to all endpoints.
+    fn set_cut(&self, scope: CutScope, mode: ProxyMode) {
+        for (daemon, paths) in self.daemon_paths.iter().enumerate() {
+            if scope.covers(daemon) {
+                for path in paths {
+                    path.set_mode(mode);
+                }
+            }
+        }
+    }
+
     fn signal(&self, daemon: usize, signal: DaemonSignal) {
         self.daemons.borrow_mut()[daemon].signal(signal);
     }
--- a/crates/soak/src/run/final_checks.rs
+++ b/crates/soak/src/run/final_checks.rs
@@ -2,12 +2,16 @@
 
 use std::time::{Duration, Instant};
 
+use adapter_standin::ProxyMode;
 use futures::future::join_all;
 use ntex::http::StatusCode;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 use super::{CRASH_INTERVAL, EVENT_INTERVAL, SoakEnvironment};
 use crate::caller::{CallKind, CallOutcome, SoakCaller};
 use crate::check::{DRAIN_TIME, Violation};
+use crate::schedule::draw_cut;
 
 /// Time within which every daemon must apply a configuration change, including the time that
 /// querying all daemons takes.
@@ -52,7 +56,63 @@
 /// Time that a caller waits between two calls while endpoints limit or refuse them.
 const PRESSING_INTERVAL: Duration = Duration::from_millis(80);
 
+/// Time after the begin of a cut from all endpoints from which calls count.
+const CUT_SETTLING_TIME: Duration = Duration::from_secs(3);
+
+/// Number of rounds of calls that count, each with every kind of call to each daemon.
+const CUT_ROUNDS: usize = 8;
+
+/// Calls that may fail at the daemons that are cut off: this many, and one in so many of all.
+const CUT_FAILURES: (usize, usize) = (10, 50);
+
+/// Calls at some daemons.
+#[derive(Debug, Default)]
+struct ServedShare {
+    sent: usize,
+    served: usize,
+}
+
 impl SoakEnvironment {
+    /// Checks that daemons that are cut off from all endpoints serve at least two thirds as often as
+    /// the others, or fail few calls. All daemons being cut off, there is nothing to check.
+    pub(super) async fn check_cut(&self, violations: &mut Vec<Violation>) {
+        let mut random = SmallRng::seed_from_u64(self.seed);
+        let (scope, mode) = draw_cut(&mut random, &self.size);
+        self.set_cut(scope, mode);
+        self.press(CUT_SETTLING_TIME).await;
+        let mut callers = Vec::new();
+        for (daemon, address) in self.caller_addresses().into_iter().enumerate() {
+            callers.push((daemon, SoakCaller::new(daemon, address).await));
+        }
+        let (mut cut, mut others) = (ServedShare::default(), ServedShare::default());
+        let kinds = CallKind::ALL.into_iter().cycle();
+        for kind in kinds.take(CUT_ROUNDS * CallKind::ALL.len()) {
+            for (daemon, caller) in &callers {
+                let share = if scope.covers(*daemon) {
+                    &mut cut
+                } else {
+                    &mut others
+                };
+                let outcome = self.call(caller, kind, "key-0").await;
+                share.sent += 1;
+                if matches!(outcome, CallOutcome::Response(StatusCode::OK, _)) {
+                    share.served += 1;
+                }
+            }
+        }
+        self.set_cut(scope, ProxyMode::Pass);
+        let failed = cut.sent - cut.served;
+        let allowed = CUT_FAILURES.0 + (cut.sent + others.sent) / CUT_FAILURES.1;
+        let is_worse = cut.served * others.sent * 3 < others.served * cut.sent * 2;
+        if others.sent > 0 && is_worse && failed > allowed {
+            let observed = format!("{scope:?} {mode:?}: cut {cut:?}, others {others:?}");
+            violations.push(Violation::new(
+                "daemons that are cut off from all endpoints serve like the others",
+                observed,
+            ));
+        }
+    }
+
     /// Checks that a call that has crashed several endpoints, or calls with a part that has, are not
     /// sent on.
     pub(super) async fn check_crashing_calls(&self, violations: &mut Vec<Violation>) {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -20,6 +20,42 @@
 /// Longest duration of a limit, in milliseconds.
 const LONGEST_LIMIT_MS: u64 = 6_000;
 
+/// Shortest and longest duration of a cut of instances from all endpoints, in milliseconds.
+const CUT_DURATION_MS: (u64, u64) = (500, 5_000);
+
+/// Number of such cuts in a run.
+const CUT_COUNT: usize = 2;
+
+/// Forms of such cuts: open connections live on, are reset, or hang.
+const CUT_MODES: [ProxyMode; 3] = [
+    ProxyMode::Refuse,
+    ProxyMode::Disconnect,
+    ProxyMode::Blackhole,
+];
+
+/// Daemons that are cut off from all endpoints at once.
+#[derives::tag]
+pub enum CutScope {
+    /// One daemon.
+    Daemon(usize),
+    /// All daemons of a failure domain.
+    Domain(usize),
+}
+
+impl CutScope {
+    /// Whether the daemon with this index is cut off.
+    #[must_use]
+    pub fn covers(self, daemon: usize) -> bool {
+        match self {
+            Self::Daemon(index) => daemon == index,
+            Self::Domain(domain) => daemon % DOMAIN_COUNT == domain,
+        }
+    }
+}
+
+/// Number of failure domains; daemons and endpoints are spread over them in turn.
+pub const DOMAIN_COUNT: usize = 2;
+
 /// Size of the system under test.
 #[derives::value]
 pub struct SoakSize {
@@ -59,6 +95,8 @@
     Configure,
     /// An endpoint names a limit, in requests a second.
     Limit(usize, u32),
+    /// Daemons are cut off from all endpoints.
+    Cut(CutScope, ProxyMode),
 }
 
 /// A fault with its begin and end, in milliseconds since the schedule started.
@@ -88,6 +126,7 @@
         })
         .collect();
     times.extend(draw_limits(seed, size));
+    times.extend(draw_cuts(seed, size));
     times.sort_by_key(|time| time.from);
     times
 }
@@ -109,6 +148,33 @@
         .collect()
 }
 
+/// Draws cuts of daemons from all endpoints, from numbers of their own.
+fn draw_cuts(seed: u64, size: &SoakSize) -> Vec<FaultTime> {
+    let mut rng = SmallRng::seed_from_u64(seed.swap_bytes());
+    (0..CUT_COUNT)
+        .map(|_| {
+            let from = rng.random_range(0..FAULT_WINDOW_MS);
+            let (scope, mode) = draw_cut(&mut rng, size);
+            FaultTime {
+                fault: SoakFault::Cut(scope, mode),
+                from,
+                until: from + rng.random_range(CUT_DURATION_MS.0..CUT_DURATION_MS.1),
+            }
+        })
+        .collect()
+}
+
+/// Draws which daemons are cut off from all endpoints, and how.
+pub(crate) fn draw_cut(rng: &mut SmallRng, size: &SoakSize) -> (CutScope, ProxyMode) {
+    let scope = if rng.random_bool(0.5) {
+        CutScope::Domain(rng.random_range(0..DOMAIN_COUNT))
+    } else {
+        CutScope::Daemon(rng.random_range(0..size.daemons))
+    };
+    let mode = CUT_MODES.choose(rng).copied().unwrap_or(CUT_MODES[0]);
+    (scope, mode)
+}
+
 fn draw_fault(rng: &mut SmallRng, size: &SoakSize) -> SoakFault {
     let daemon = rng.random_range(0..size.daemons);
     let endpoint = rng.random_range(0..size.engines + size.service_endpoints);
