--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -223,6 +223,7 @@
         Ok(environment)
     }
 
+    /// Writes the entry of an endpoint's current incarnation, in place of that of a former one.
     fn register(&self, index: usize, state: &str) {
         let service = if index < self.size.engines {
             "engines"
@@ -234,8 +235,11 @@
         let endpoint = &self.endpoints[index];
         let entry = endpoint.entry_at(service, domain, state, address);
         let id = endpoint.id();
+        let former = std::mem::replace(&mut self.registered.borrow_mut()[index], id.clone());
+        if former != id {
+            self.store.remove(&format!("servers/{former}"));
+        }
         self.store.put(&format!("servers/{id}"), &entry);
-        self.registered.borrow_mut()[index] = id;
     }
 
     /// Replaces the entries of endpoints that have crashed; each is missing for a while.
