Attribute silent runs to an endpoint as soon as it is found to be gone

What callers saw: engines that go dark under a part of prompts go on being lost until the entries of the first ones expire, some seconds later.

Cause: a silent run counted as a crash only when its endpoint's entry had been removed. That nobody reaches the endpoint, or that another incarnation answers at its address (421), was not used.

Evidence: the new test, eight engines that go dark for 2 s and whose entries last 9 s: before 6 requests reached engines from 3 s after the fifth crash (allowed 3; 9 crashes until then), now at most 3. The other four tests of the file pass as before.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -257,17 +257,30 @@
     /// Attributes the loss of endpoints to the runs that fell silent on them.
     fn attribute_losses(&self, now: Millis) {
         let endpoint_view = self.endpoint_view.borrow();
+        self.attribute_loss(|endpoint| endpoint_view.is_lost(endpoint), now);
+    }
+
+    /// Records that the incarnation `endpoint` of an endpoint is found to be gone: nobody reaches it,
+    /// or another incarnation answers at its address. Runs that fell silent on it are attributed to
+    /// the loss before its entry expires, unless it was known to be leaving.
+    pub(crate) fn endpoint_gone(&self, endpoint: &EndpointId) {
+        if !self.is_departed(endpoint) {
+            self.attribute_loss(|lost| lost == endpoint, self.now());
+        }
+    }
+
+    fn attribute_loss(&self, is_lost: impl Fn(&EndpointId) -> bool, now: Millis) {
         let mut crashes = self.dependencies.crashes.borrow_mut();
-        let attributed = crashes.endpoints_lost(|endpoint| endpoint_view.is_lost(endpoint), now);
+        let attributed = crashes.endpoints_lost(is_lost, now);
         for crash in &attributed {
             let fingerprint = crash.report.fingerprint;
-            self.notices_added.notify_one();
             spdlog::info!("endpoint lost under a run", kv: {
                 fingerprint = fingerprint.to_string().as_str(),
                 endpoint = crash.report.endpoint.as_str(),
                 crashes = crashes.crashes(fingerprint, now).0,
             });
         }
+        self.announce_notices(&crashes);
         Self::log_blame_changes(&mut crashes);
     }
 
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -124,6 +124,9 @@
             };
             core.run_failed(request, &guard.target.endpoint, failure);
         }
+        if error.outcome == RunOutcome::NotConnected {
+            core.endpoint_gone(&guard.target.endpoint);
+        }
         guard.outcome.set(error.outcome);
         drop(guard);
         if error.ran == MayHaveRun::Yes {
@@ -314,6 +317,9 @@
             core.heard_leaving(&guard.target.endpoint);
         }
     }
+    if answer.status == StatusCode::MISDIRECTED_REQUEST {
+        core.endpoint_gone(&guard.target.endpoint);
+    }
     if head.statement == RunStatement::NotRun && !answer.status.is_success() {
         return Err(CallError::new(
             RunOutcome::Refused,
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -86,6 +86,9 @@
             };
             self.core.run_failed(&self.request, endpoint, failure);
         }
+        if error.report.outcome == RunOutcome::NotConnected && error.report.at_fault.is_none() {
+            self.core.endpoint_gone(endpoint);
+        }
     }
 
     /// Logs a placement whose prefill is shared with helpers. Other placements appear only in the
@@ -221,6 +224,9 @@
                 self.core.heard_leaving(&grant.host.endpoint);
             }
         }
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            self.core.endpoint_gone(&grant.host.endpoint);
+        }
         if head.statement == RunStatement::NotRun && !status.is_success() {
             // An endpoint that names another one at fault could not connect to it.
             let outcome = match head.at_fault {
