Leave an endpoint alone for the time that its refusal states

What endpoints saw: requests of an instance that it had answered 503 with Retry-After went on (BUDGET allows two from half a second after until the time is over).

Cause: the header of endpoints' refusals was not read.

Change: policy::backoff keeps the end of each stated time, ten minutes at most. Held endpoints are excluded from this instance's placements and calls, and asked for again when a grant arrives; if all that are left are held, the request is refused at once with the shortest time. A value that is no time is logged and ignored.

Open: the time is known to the instance that heard it, not to the host of a tunnel; instances return each at its own time, without a spread of their own.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Functions that depend on time take `now` in milliseconds of a monotonic clock. The adapters in
 //! `entry` and the fakes in `scenarios` execute the decisions.
 
+pub mod backoff;
 pub mod balance;
 pub mod call;
 pub mod cast;
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -6,9 +6,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use policy::backoff::BackoffTable;
 use policy::balance::CallBalancer;
 use policy::catalog::ServiceCatalog;
-use policy::dispatch::placement::{EndpointTarget, PlacementGrant, RunOutcome};
+use policy::dispatch::placement::{EndpointState, EndpointTarget, PlacementGrant, RunOutcome};
 use policy::ids::{DomainId, EndpointId, Millis, PoolId};
 use policy::outcome::{Refusal, RefusalReason, RetryReason};
 use policy::part_blame::{BlameChange, RunProgress};
@@ -107,6 +108,8 @@
     phase: Cell<RelayPhase>,
     /// Limits that endpoints have named in answers to this instance.
     heard_limits: RefCell<RateTable>,
+    /// Endpoints that want no requests from this instance for a time.
+    backoffs: RefCell<BackoffTable>,
     last_request_number: Cell<u64>,
     notices_added: Notify,
     random: RefCell<SmallRng>,
@@ -132,6 +135,7 @@
             retries: RefCell::new(BudgetTable::new(CALL_RETRY_LIMITS)),
             phase: Cell::new(RelayPhase::Starting),
             heard_limits: RefCell::new(RateTable::new()),
+            backoffs: RefCell::new(BackoffTable::new()),
             last_request_number: Cell::new(0),
             notices_added: Notify::new(),
             random: RefCell::new(SmallRng::from_os_rng()),
@@ -390,10 +394,46 @@
         excluded: &[EndpointId],
     ) -> Option<EndpointTarget> {
         let draw = self.draw();
+        let excluded = [excluded, &self.held_endpoints()].concat();
         let mut balancers = self.balancers.borrow_mut();
         balancers
             .get_mut(service)?
-            .start(excluded, draw, self.now())
+            .start(&excluded, draw, self.now())
+    }
+
+    /// Endpoints of a plain service or of engines to which this instance sends nothing now, because
+    /// they said so.
+    pub(crate) fn held_endpoints(&self) -> Vec<EndpointId> {
+        self.backoffs.borrow().held(self.now())
+    }
+
+    /// Whether this instance sends nothing to the endpoint now.
+    pub(crate) fn is_held(&self, endpoint: &EndpointId) -> bool {
+        self.backoffs.borrow().holds(endpoint, self.now())
+    }
+
+    /// Time until the first endpoint of `pool` takes requests again, if all that are left are held.
+    pub(crate) fn backoff_wait(&self, pool: &PoolId) -> Option<Millis> {
+        let listed = self.endpoint_view.borrow().in_pool(pool);
+        let is_usable = |endpoint: &EndpointId| {
+            let info = listed.iter().find(|info| info.target.endpoint == *endpoint);
+            info.is_some_and(|info| info.state == EndpointState::Ready)
+        };
+        self.backoffs.borrow().shortest_wait(is_usable, self.now())
+    }
+
+    /// Records that an endpoint refused a request of this instance and wants none for a time.
+    pub(crate) fn heard_backoff(&self, endpoint: &EndpointId, retry_after: Millis) {
+        let now = self.now();
+        let held = self
+            .backoffs
+            .borrow_mut()
+            .record(endpoint, retry_after, now);
+        spdlog::info!("endpoint wants no requests for a time", kv: {
+            endpoint = endpoint.as_str(),
+            retry_after = retry_after,
+            held = held,
+        });
     }
 
     pub(crate) fn end_call(&self, service: &PoolId, endpoint: &EndpointId, outcome: RunOutcome) {
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -81,6 +81,9 @@
     /// Requests a second that the endpoint accepts from all instances together; `None` if it names
     /// no limit.
     pub rate_limit: Option<RequestRate>,
+    /// Time for which the endpoint wants no requests from this instance, in milliseconds, if it
+    /// refuses the request and states one.
+    pub retry_after: Option<Millis>,
     /// Whether the endpoint accepts no new requests because it leaves.
     pub leaving: LeavingStatement,
 }
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -153,7 +153,8 @@
     let mut shortest_wait: Option<Millis> = None;
     loop {
         let Some(target) = core.start_call(&request.service, excluded) else {
-            return Err(match (shortest_wait, ran) {
+            let held = core.backoff_wait(&request.service);
+            return Err(match (shortest_wait.into_iter().chain(held).min(), ran) {
                 (Some(wait), MayHaveRun::No) => {
                     let retry_after = wait.max(MIN_LIMIT_RETRY_AFTER);
                     RelayFailure::not_run(RefusalReason::EndpointLimits, retry_after)
@@ -313,6 +314,11 @@
     if matches_request && answer.status != StatusCode::MISDIRECTED_REQUEST {
         let sent_at = guard.sent_at.get().unwrap_or(0);
         core.heard_limit(&guard.target.endpoint, head.rate_limit, sent_at);
+        if answer.status == StatusCode::SERVICE_UNAVAILABLE
+            && let Some(retry_after) = head.retry_after
+        {
+            core.heard_backoff(&guard.target.endpoint, retry_after);
+        }
         if head.leaving == LeavingStatement::Leaving {
             core.heard_leaving(&guard.target.endpoint);
         }
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -132,14 +132,20 @@
     pub(crate) async fn start(&mut self) -> Result<StreamStart, RelayFailure> {
         loop {
             let (guard, grant) = self.request_placement().await?;
-            if let Some(departed) = self.departed_engine(&grant) {
-                // The dispatcher does not know yet that the endpoint is leaving.
-                let report = RunReport::new(RunOutcome::NotConnected);
+            // The dispatcher does not know yet that an endpoint is leaving, nor that it wants no
+            // requests from this instance.
+            let departed = self.departed_engine(&grant);
+            let outcome = match departed {
+                Some(_) => RunOutcome::NotConnected,
+                None => RunOutcome::NoPath,
+            };
+            if let Some(departed) = departed.or_else(|| self.held_engine(&grant)) {
+                let report = RunReport::new(outcome);
                 guard.report(report.with_fault_at(Some(departed.address)));
                 self.excluded.push(departed.endpoint.clone());
                 self.tries += 1;
                 if self.tries >= MAX_TRIES {
-                    return Err(self.final_failure(&RunReport::new(RunOutcome::NotConnected)));
+                    return Err(self.final_failure(&RunReport::new(outcome)));
                 }
                 continue;
             }
@@ -209,7 +215,7 @@
         let Ok(Ok((guard, grant))) = requested else {
             return;
         };
-        if self.departed_engine(&grant).is_some() {
+        if self.departed_engine(&grant).is_some() || self.held_engine(&grant).is_some() {
             return;
         }
         let Ok((run, head)) = self.start_run(guard, &grant).await else {
--- a/crates/relay/src/stream/placing.rs
+++ b/crates/relay/src/stream/placing.rs
@@ -20,6 +20,14 @@
 };
 
 impl StreamSession {
+    /// An engine of the placement that wants no requests from this instance now; the host first.
+    pub(super) fn held_engine<'a>(&self, grant: &'a PlacementGrant) -> Option<&'a EndpointTarget> {
+        let helpers = grant.helpers.iter().map(|helper| &helper.target);
+        std::iter::once(&grant.host)
+            .chain(helpers)
+            .find(|target| self.core.is_held(&target.endpoint))
+    }
+
     /// An engine of the placement that is leaving or was removed; the host first.
     pub(super) fn departed_engine<'a>(
         &self,
@@ -69,7 +77,19 @@
             Ok(PlacementDecision::Refused(_)) if self.runs > 0 => {
                 Err(RelayFailure::Unfinished(UnfinishedReason::EndpointLost))
             }
-            Ok(PlacementDecision::Refused(refusal)) => Err(RelayFailure::NotRun(refusal)),
+            Ok(PlacementDecision::Refused(refusal)) => {
+                Err(RelayFailure::NotRun(self.with_backoff(refusal)))
+            }
+        }
+    }
+
+    /// A refusal for want of an endpoint, with the time after which the first one takes requests
+    /// again, if endpoints have said so.
+    fn with_backoff(&self, refusal: Refusal) -> Refusal {
+        let held = self.core.backoff_wait(&self.request.service);
+        match held.filter(|_| refusal.reason == RefusalReason::NoEndpoint) {
+            Some(wait) => Refusal::new(refusal.reason, wait),
+            None => refusal,
         }
     }
 
@@ -103,7 +123,7 @@
             pause_aim: route.pause_aim,
             time_left: left,
             retry: self.retry,
-            excluded: self.excluded.clone(),
+            excluded: [self.excluded.as_slice(), &self.core.held_endpoints()].concat(),
             caller_domain: None,
             fingerprint: request.fingerprint(),
         }
