--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -124,6 +124,7 @@
     crashing.await?;
     environment.check_crashing_calls(&mut violations).await;
     environment.check_cut(&mut violations).await;
+    environment.check_backoffs(&mut violations).await;
     environment.check_limits(&mut violations).await;
     environment.check_leaving(&mut violations).await;
     restarting.abort();
--- a/crates/soak/src/run/final_checks.rs
+++ b/crates/soak/src/run/final_checks.rs
@@ -50,6 +50,13 @@
 /// Largest number of requests in a window: one and a half times the limit, and five.
 const MAX_REQUESTS_IN_WINDOW: usize = 14;
 
+/// Retry-after that two endpoints state in the final check.
+const FINAL_BACKOFF: Duration = Duration::from_secs(4);
+
+/// Requests of one daemon that may reach an endpoint before its retry-after has ended: the one that
+/// is refused, and two that are under way.
+const MAX_REQUESTS_IN_BACKOFF: usize = 3;
+
 /// Engine that says in its answers that it leaves.
 const SAYS_LEAVING: usize = 1;
 
@@ -195,6 +202,31 @@
         }
     }
 
+    /// Checks that an engine and an endpoint of the plain service that refuse requests with a
+    /// retry-after get no more of them from each daemon until then.
+    pub(super) async fn check_backoffs(&self, violations: &mut Vec<Violation>) {
+        let refusing = [0, self.endpoints.len() - 1];
+        let said_at = Instant::now();
+        for index in refusing {
+            self.endpoints[index].set_retry_after(Some(FINAL_BACKOFF.as_secs_f64()));
+        }
+        self.press(FINAL_BACKOFF).await;
+        let allowed = self.size.daemons * MAX_REQUESTS_IN_BACKOFF;
+        for index in refusing {
+            let mut arrivals = self.endpoints[index].arrivals();
+            arrivals.retain(|at| (said_at..said_at + FINAL_BACKOFF).contains(at));
+            if arrivals.len() > allowed {
+                let observed = format!("endpoint {index}: {} requests", arrivals.len());
+                violations.push(Violation::new(
+                    "an endpoint gets no more requests until its retry-after has ended",
+                    observed,
+                ));
+            }
+            self.endpoints[index].set_retry_after(None);
+        }
+        tokio::time::sleep(FINAL_BACKOFF).await;
+    }
+
     /// Checks that an engine and an endpoint of the plain service that name a limit get no more
     /// requests than that, from all daemons together.
     pub(super) async fn check_limits(&self, violations: &mut Vec<Violation>) {
