Bound the answers that are read at the same time

Cause: each whole answer may be as long as the bound of callers' bodies (1 MiB here, 4 MiB in deployments), for as many answers as are read at once: a hundred endless ones take more than a small instance has.

An answer of up to 256 KiB is read whatever else is; beyond, one is given up while all together exceed 16 MiB.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -5,7 +5,7 @@
 //! read a body that ends with its connection, so requests to endpoints use `hyper`, on one
 //! connection each.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -38,6 +38,13 @@
 /// Largest number of idle connections kept for one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 8;
 
+/// Size up to which an answer is read whatever else is being read, in bytes.
+const SMALL_ANSWER_BYTES: usize = 256 * 1_024;
+
+/// Largest sum of the answers that are being read at the same time, in bytes, beyond which those
+/// that are not small are given up: a part of the memory of a small instance.
+const MAX_BUFFERED_BYTES: usize = 16 * 1_024 * 1_024;
+
 /// Header in which an endpoint states how long it keeps idle connections.
 const KEEP_ALIVE: &str = "keep-alive";
 
@@ -72,9 +79,39 @@
 /// idle connection is never mistaken for a lost answer.
 pub struct EndpointConnections {
     connector: Rc<EndpointConnector>,
+    /// Bytes of the answers that are being read.
+    buffered: Rc<Cell<usize>>,
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
 }
 
+/// Bytes of one answer that is being read, as a part of all.
+struct BufferedAnswer {
+    total: Rc<Cell<usize>>,
+    bytes: usize,
+}
+
+impl BufferedAnswer {
+    fn new(total: &Rc<Cell<usize>>) -> Self {
+        Self {
+            total: Rc::clone(total),
+            bytes: 0,
+        }
+    }
+
+    /// Counts further bytes. Returns whether the answer may be read on.
+    fn add(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        self.total.set(self.total.get() + bytes);
+        self.bytes <= SMALL_ANSWER_BYTES || self.total.get() <= MAX_BUFFERED_BYTES
+    }
+}
+
+impl Drop for BufferedAnswer {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - self.bytes);
+    }
+}
+
 /// A connection in use. Dropping it closes the connection, which tells the endpoint that the answer
 /// is no longer needed.
 struct ConnectionGuard {
@@ -83,6 +120,8 @@
     task: AbortHandle,
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
     keep_for: Duration,
+    /// Bytes of the answers that are being read on all connections.
+    buffered: Rc<Cell<usize>>,
     /// The tunnel that the connection uses, if any. Such a connection is not kept, so that the next
     /// request takes the direct path once that is open again.
     tunnel: Option<TunnelUse>,
@@ -148,6 +187,7 @@
 pub struct AnswerBody {
     incoming: Incoming,
     guard: Option<ConnectionGuard>,
+    buffered: Rc<Cell<usize>>,
     /// Whether the body has a length or an end marker, so that its end is not that of its connection.
     has_explicit_end: bool,
 }
@@ -198,12 +238,18 @@
     /// # Errors
     ///
     /// [`ExchangeError::Lost`] if the body breaks off, [`ExchangeError::Unreadable`] if it is
-    /// longer than `max_bytes` bytes.
+    /// longer than `max_bytes` bytes, or than what all answers together may take.
     pub async fn read_whole(mut self, max_bytes: usize) -> Result<Bytes, ExchangeError> {
         let mut body = bytes::BytesMut::new();
+        let mut buffered = BufferedAnswer::new(&self.buffered);
         loop {
             match self.next_chunk().await {
-                BodyChunk::Bytes(bytes) => body.extend_from_slice(&bytes),
+                BodyChunk::Bytes(bytes) => {
+                    if !buffered.add(bytes.len()) {
+                        return Err(ExchangeError::Unreadable);
+                    }
+                    body.extend_from_slice(&bytes);
+                }
                 BodyChunk::End => return Ok(body.freeze()),
                 BodyChunk::Broken => return Err(ExchangeError::Lost),
             }
@@ -220,6 +266,7 @@
     pub fn new(connector: Rc<EndpointConnector>) -> Self {
         Self {
             connector,
+            buffered: Rc::default(),
             idle: Rc::default(),
         }
     }
@@ -276,6 +323,7 @@
                 task: connection.task,
                 idle: Rc::clone(&self.idle),
                 keep_for: Duration::ZERO,
+                buffered: Rc::clone(&self.buffered),
                 tunnel: None,
             });
         }
@@ -315,6 +363,7 @@
             task: task.abort_handle(),
             idle: Rc::clone(&self.idle),
             keep_for: Duration::ZERO,
+            buffered: Rc::clone(&self.buffered),
             tunnel,
         })
     }
@@ -364,6 +413,7 @@
         headers,
         body: AnswerBody {
             incoming,
+            buffered: Rc::clone(&guard.buffered),
             guard: Some(guard),
             has_explicit_end,
         },
