--- /dev/null
+++ b/crates/relay/src/core/endpoints.rs
@@ -0,0 +1,191 @@
+//! The endpoints that this instance may use, and what they say of themselves in answers.
+
+use policy::balance::CallBalancer;
+use policy::dispatch::placement::{EndpointState, EndpointTarget, PlacementGrant};
+use policy::ids::{EndpointId, Millis, PoolId};
+use policy::rate_limit::{RateNotice, RequestRate};
+use rand::seq::IteratorRandom;
+
+use super::RelayCore;
+use crate::endpoint_view::{EndpointView, ViewChange};
+use crate::placement_router::EndpointListener;
+
+impl EndpointListener for RelayCore {
+    fn endpoint_leaves(&self, endpoint: &EndpointId) {
+        self.mark_leaving(endpoint, "member");
+    }
+}
+
+impl RelayCore {
+    /// Applies `change` to the view of the endpoints and distributes the endpoints if the view
+    /// changed.
+    pub fn update_endpoints(&self, change: impl FnOnce(&mut EndpointView, Millis) -> ViewChange) {
+        let now = self.now();
+        let changed = change(&mut self.endpoint_view.borrow_mut(), now);
+        if changed == ViewChange::Changed {
+            self.distribute_endpoints();
+            self.attribute_losses(now);
+        }
+    }
+
+    /// Passes the current endpoints to the dispatcher and to the balancers of plain services.
+    pub(super) fn distribute_endpoints(&self) {
+        let Some(catalog) = self.catalog() else {
+            return;
+        };
+        let endpoint_view = self.endpoint_view.borrow();
+        let connector = self.connections().connector();
+        connector.set_endpoints(endpoint_view.len(), |endpoint| {
+            endpoint_view.target(endpoint).is_some()
+        });
+        let count = i64::try_from(endpoint_view.len()).unwrap_or(i64::MAX);
+        self.counters.endpoints.set(count);
+        for service in catalog.services() {
+            let list = endpoint_view.in_pool(&service.service);
+            if service.engine.is_some() {
+                self.dependencies
+                    .driver
+                    .set_endpoints(&service.service, &list);
+                continue;
+            }
+            let mut balancers = self.balancers.borrow_mut();
+            let balancer = balancers
+                .entry(service.service.clone())
+                .or_insert_with(|| CallBalancer::new(self.dependencies.domain.clone()));
+            balancer.set_endpoints(&list);
+        }
+    }
+
+    /// Known endpoints that are not in `listed`.
+    #[must_use]
+    pub fn unlisted(&self, listed: &[EndpointId]) -> Vec<EndpointId> {
+        self.endpoint_view.borrow().unlisted(listed)
+    }
+
+    /// Id and address of a known endpoint.
+    pub(crate) fn endpoint_target(&self, endpoint: &EndpointId) -> Option<EndpointTarget> {
+        self.endpoint_view.borrow().target(endpoint)
+    }
+
+    /// Up to `count` known endpoints other than `endpoint`, chosen at random.
+    pub(crate) fn other_targets(&self, endpoint: &EndpointId, count: usize) -> Vec<EndpointTarget> {
+        let endpoint_view = self.endpoint_view.borrow();
+        let mut random = self.random.borrow_mut();
+        let others = endpoint_view
+            .targets()
+            .filter(|other| other.endpoint != *endpoint);
+        others.cloned().choose_multiple(&mut *random, count)
+    }
+
+    /// The grant with the addresses in this instance's own entries of the endpoints, which may be
+    /// newer than those of the dispatcher.
+    pub(crate) fn with_own_addresses(&self, mut grant: PlacementGrant) -> PlacementGrant {
+        let helpers = grant.helpers.iter_mut().map(|helper| &mut helper.target);
+        for target in std::iter::once(&mut grant.host).chain(helpers) {
+            if let Some(known) = self.endpoint_target(&target.endpoint) {
+                target.address = known.address;
+            }
+        }
+        grant
+    }
+
+    /// Whether the endpoint is leaving or was removed recently.
+    pub(crate) fn is_departed(&self, endpoint: &EndpointId) -> bool {
+        self.endpoint_view.borrow().is_departed(endpoint)
+    }
+
+    /// Records that an endpoint has said in an answer to this instance that it leaves, and tells the
+    /// stewards.
+    pub(crate) fn heard_leaving(&self, endpoint: &EndpointId) {
+        if self.mark_leaving(endpoint, "answer") == ViewChange::Changed {
+            self.placement().report_leaving(endpoint);
+        }
+    }
+
+    pub(super) fn mark_leaving(&self, endpoint: &EndpointId, heard_from: &str) -> ViewChange {
+        let mut change = ViewChange::Same;
+        self.update_endpoints(|view, _| {
+            change = view.mark_leaving(endpoint);
+            change
+        });
+        if change == ViewChange::Changed {
+            spdlog::info!("endpoint says that it leaves", kv: {
+                endpoint = endpoint.as_str(),
+                heard_from = heard_from,
+            });
+        }
+        change
+    }
+
+    /// Whether the endpoint has named a limit in an answer to this instance.
+    pub(crate) fn is_limited(&self, endpoint: &EndpointId) -> bool {
+        self.heard_limits.borrow().rate(endpoint).is_some()
+    }
+
+    /// Records the limit that an endpoint names, or does not name, in its answer to a request that
+    /// was sent at `sent_at`. Only the answer to a request that was sent after the limit was last
+    /// heard of can end it.
+    pub(crate) fn heard_limit(
+        &self,
+        endpoint: &EndpointId,
+        rate: Option<RequestRate>,
+        sent_at: Millis,
+    ) {
+        let known = self.heard_limits.borrow().heard_at(endpoint);
+        let is_news = match (rate, known) {
+            (Some(_), _) => true,
+            (None, Some(heard_at)) => sent_at > heard_at,
+            (None, None) => false,
+        };
+        if !is_news {
+            return;
+        }
+        let notice = RateNotice {
+            endpoint: endpoint.clone(),
+            rate,
+            age: 0,
+        };
+        self.placement().report_limit(&notice);
+        if self.heard_limits.borrow_mut().apply(&notice, self.now()) {
+            spdlog::info!("endpoint changed its limit", kv: {
+                endpoint = endpoint.as_str(),
+                per_second = rate.map_or(-1.0, RequestRate::per_second),
+            });
+        }
+    }
+
+    /// Endpoints of a plain service or of engines to which this instance sends nothing now, because
+    /// they said so.
+    pub(crate) fn held_endpoints(&self) -> Vec<EndpointId> {
+        self.backoffs.borrow().held(self.now())
+    }
+
+    /// Whether this instance sends nothing to the endpoint now.
+    pub(crate) fn is_held(&self, endpoint: &EndpointId) -> bool {
+        self.backoffs.borrow().holds(endpoint, self.now())
+    }
+
+    /// Time until the first endpoint of `pool` takes requests again, if all that are left are held.
+    pub(crate) fn backoff_wait(&self, pool: &PoolId) -> Option<Millis> {
+        let listed = self.endpoint_view.borrow().in_pool(pool);
+        let is_usable = |endpoint: &EndpointId| {
+            let info = listed.iter().find(|info| info.target.endpoint == *endpoint);
+            info.is_some_and(|info| info.state == EndpointState::Ready)
+        };
+        self.backoffs.borrow().shortest_wait(is_usable, self.now())
+    }
+
+    /// Records that an endpoint refused a request of this instance and wants none for a time.
+    pub(crate) fn heard_backoff(&self, endpoint: &EndpointId, retry_after: Millis) {
+        let now = self.now();
+        let held = self
+            .backoffs
+            .borrow_mut()
+            .record(endpoint, retry_after, now);
+        spdlog::info!("endpoint wants no requests for a time", kv: {
+            endpoint = endpoint.as_str(),
+            retry_after = retry_after,
+            held = held,
+        });
+    }
+}
