End the wait for a host that is lost

Cause: a silent run was waited for until its timeout or its deadline, whatever was known of its host.

Hosts of runs with reserved memory are checked from the first second on, others once the first event is overdue.

--- a/crates/relay/src/core/endpoints.rs
+++ b/crates/relay/src/core/endpoints.rs
@@ -89,6 +89,11 @@
         grant
     }
 
+    /// Whether the endpoint was removed recently without having been seen leaving.
+    pub(crate) fn is_lost(&self, target: &EndpointTarget) -> bool {
+        self.endpoint_view.borrow().is_lost(&target.endpoint)
+    }
+
     /// Whether the endpoint is leaving or was removed recently.
     pub(crate) fn is_departed(&self, endpoint: &EndpointId) -> bool {
         self.endpoint_view.borrow().is_departed(endpoint)
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -2,6 +2,7 @@
 //! stream is resumed on another one.
 
 mod event_stream;
+mod host_watch;
 mod placing;
 mod run_error;
 mod run_guard;
@@ -13,11 +14,12 @@
 use ntex::http::{HeaderMap, StatusCode};
 use ntex::util::Bytes;
 use policy::catalog::RepeatRule;
-use policy::dispatch::placement::{PlacementGrant, RunOutcome, RunReport};
+use policy::dispatch::placement::{EndpointTarget, PlacementGrant, RunOutcome, RunReport};
 use policy::ids::{EndpointId, Millis};
 use policy::outcome::{RefusalReason, RetryReason, UnfinishedReason};
 
 use self::event_stream::EventStream;
+use self::host_watch::{HostSilence, wait_for_host};
 use self::run_error::{RequestDelivery, RunError};
 use self::run_guard::RunGuard;
 use crate::answer::{RelayFailure, WholeAnswer};
@@ -35,6 +37,9 @@
 /// Shortest silence between events after which a run is replaced, in milliseconds.
 const MIN_SILENCE_TIMEOUT: Millis = 1_000;
 
+/// Silence between events after which the host is checked for the first time.
+const FIRST_HOST_CHECK: Duration = Duration::from_millis(1_500);
+
 /// Silence after which a run is replaced, as a multiple of the pause target.
 const SILENCE_PAUSE_TARGETS: Millis = 3;
 
@@ -48,7 +53,7 @@
 struct StreamRun {
     guard: RunGuard,
     /// Host of the run.
-    endpoint: EndpointId,
+    host: EndpointTarget,
     stream: EventStream,
     /// Held so that the reservation is released when the run ends.
     _reservation: Option<MemoryReservation>,
@@ -182,17 +187,27 @@
                 return StreamStep::Whole;
             }
             let read = run.stream.read(&mut self.last_event);
-            let error = match tokio::time::timeout(timeout, read).await {
+            let waited = wait_for_host(&self.core, &run.host, timeout, FIRST_HOST_CHECK, read);
+            let error = match waited.await {
                 Ok(Ok(())) => {
                     run.guard.heard(run.stream.events.len());
                     continue;
                 }
                 Ok(Err(error)) => error,
-                Err(_) if self.request.time_left(self.core.now()) >= MIN_TIME_LEFT => {
+                Err(HostSilence::TimedOut)
+                    if self.request.time_left(self.core.now()) >= MIN_TIME_LEFT =>
+                {
                     self.replace_silent_run().await;
                     continue;
                 }
-                Err(_) => RunError::new(RunOutcome::Silent, RetryReason::StreamSilent),
+                Err(HostSilence::HostLost) => {
+                    let lost = run.host.endpoint.clone();
+                    self.core.endpoint_gone(&lost);
+                    RunError::new(RunOutcome::Silent, RetryReason::StreamSilent)
+                }
+                Err(HostSilence::TimedOut) => {
+                    RunError::new(RunOutcome::Silent, RetryReason::StreamSilent)
+                }
             };
             if let Some(failed) = self.fail_over(error).await {
                 return StreamStep::Failed(failed);
@@ -227,7 +242,7 @@
         self.runs += 1;
         if let Some(silent) = self.run.replace(run) {
             let error = RunError::new(RunOutcome::Silent, RetryReason::StreamSilent);
-            self.report_failure(&silent.guard, &silent.endpoint, &error);
+            self.report_failure(&silent.guard, &silent.host.endpoint, &error);
         }
     }
 
@@ -235,7 +250,7 @@
     /// possible.
     async fn fail_over(&mut self, error: RunError) -> Option<UnfinishedReason> {
         if let Some(run) = self.run.take() {
-            self.report_failure(&run.guard, &run.endpoint, &error);
+            self.report_failure(&run.guard, &run.host.endpoint, &error);
         }
         if self.request.time_left(self.core.now()) < MIN_TIME_LEFT {
             return Some(UnfinishedReason::DeadlinePassed);
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -10,6 +10,7 @@
 use policy::outcome::RetryReason;
 
 use super::event_stream::EventStream;
+use super::host_watch::{HostSilence, wait_for_host};
 use super::run_error::{RequestDelivery, RunError};
 use super::run_guard::RunGuard;
 use super::{StreamHead, StreamRun, StreamSession};
@@ -24,6 +25,9 @@
 /// its pause targets.
 const FIRST_EVENT_SLACK: Millis = 1_000;
 
+/// Time after which the host of a run with reserved memory is checked for the first time.
+const RESERVED_HOST_CHECK: Duration = Duration::from_secs(1);
+
 impl StreamSession {
     pub(super) async fn start_run(
         &mut self,
@@ -50,19 +54,24 @@
             }
         };
         guard.sent(&request, &grant.host.endpoint);
-        let opened =
-            tokio::time::timeout(timeout, self.open_stream(grant, reservation.as_ref())).await;
-        let opened = opened.unwrap_or_else(|_| {
-            let error = RunError::new(RunOutcome::Silent, RetryReason::StreamSilent);
-            Err(error)
-        });
+        // Memory that is reserved must not outlive a lost host for long.
+        let first_check = match &reservation {
+            Some(_) => RESERVED_HOST_CHECK,
+            None => Duration::from_millis(grant.expected_first + FIRST_EVENT_SLACK),
+        };
+        let core = Rc::clone(&self.core);
+        let opening = self.open_stream(grant, reservation.as_ref());
+        let opened = wait_for_host(&core, &grant.host, timeout, first_check, opening).await;
+        let is_lost = matches!(opened, Err(HostSilence::HostLost));
+        let silent = || RunError::new(RunOutcome::Silent, RetryReason::StreamSilent);
+        let opened = opened.unwrap_or_else(|_| Err(silent()));
         match opened {
             Ok((stream, head)) => {
                 self.core.placement().first_event(guard.number);
                 guard.heard(stream.events.len());
                 let run = StreamRun {
                     guard,
-                    endpoint: grant.host.endpoint.clone(),
+                    host: grant.host.clone(),
                     stream,
                     _reservation: reservation,
                 };
@@ -70,6 +79,9 @@
             }
             Err(error) => {
                 self.report_failure(&guard, &grant.host.endpoint, &error);
+                if is_lost {
+                    self.core.endpoint_gone(&grant.host.endpoint);
+                }
                 Err(error)
             }
         }
