Count crashes that are read at once by their own times

What callers would see: after each restart of an instance, requests with a crashing part end further engines.

Cause: crashes within 250 ms count as one, since they may have a common cause, and the time of a crash was that at which its notice was read. An instance that starts reads all notices at once.

Silent runs count from when they fell silent.

--- a/crates/policy/src/part_blame.rs
+++ b/crates/policy/src/part_blame.rs
@@ -37,6 +37,12 @@
 /// Interval at which the writing of one run is recorded, in milliseconds.
 const WRITE_REPORT_INTERVAL: Millis = 1_000;
 
+/// Longest age that is believed of a report, in milliseconds: clocks of instances may differ.
+const LONGEST_REPORT_AGE: Millis = CRASH_RETENTION / 2;
+
+/// Added to the caller's times, so that crashes before its clock began have times too.
+const TIME_OFFSET: Millis = LONGEST_REPORT_AGE;
+
 /// Factor by which each crash on probation prolongs the quarantine.
 const QUARANTINE_GROWTH: Millis = 4;
 
@@ -68,7 +74,7 @@
 /// A part with crashes that no later write excuses.
 struct SuspectPart {
     part: PromptPart,
-    /// Indices of the crashes, in the order of time.
+    /// Indices of the crashes.
     crashes: BTreeSet<usize>,
     /// Last place of the part in a prompt. Parts that stand later belong to fewer requests.
     position: usize,
@@ -147,22 +153,26 @@
         }
     }
 
-    /// Records that `endpoint` crashed under the run with the unique name `run`, whose prompt has
-    /// these shared parts and which had not written for long.
+    /// Records that `endpoint` crashed `age` milliseconds ago under the run with the unique name `run`,
+    /// whose prompt has these shared parts and which had not written for long. Reports may arrive
+    /// late and in any order.
     pub fn record_crash(
         &mut self,
         endpoint: &EndpointId,
         run: &str,
         parts: &[PromptPart],
+        age: Millis,
         now: Millis,
     ) {
+        let now = now + TIME_OFFSET;
+        let at = now - age.min(LONGEST_REPORT_AGE);
         self.expire(now);
         let is_known = |crash: &EndpointCrash| crash.runs.iter().any(|(known, _)| known == run);
         if parts.is_empty() || self.crashes.iter().any(is_known) {
             return;
         }
         let is_same = |crash: &&mut EndpointCrash| {
-            crash.endpoint == *endpoint && now.saturating_sub(crash.at) < SAME_CRASH_WINDOW
+            crash.endpoint == *endpoint && at.abs_diff(crash.at) < SAME_CRASH_WINDOW
         };
         let crashed_run = (run.to_owned(), parts.to_vec());
         if let Some(crash) = self.crashes.iter_mut().find(is_same) {
@@ -173,7 +183,7 @@
             }
             self.crashes.push_back(EndpointCrash {
                 endpoint: endpoint.clone(),
-                at: now,
+                at,
                 runs: vec![crashed_run],
             });
         }
@@ -183,6 +193,7 @@
     /// Records that a run with these parts has written for some time or to its end, which excuses
     /// them from all earlier crashes. Returns the parts of which other instances should hear.
     pub fn record_written(&mut self, parts: &[PromptPart], now: Millis) -> Vec<PromptPart> {
+        let now = now + TIME_OFFSET;
         let mut shared = Vec::new();
         let mut is_excused = false;
         for part in parts {
@@ -206,6 +217,7 @@
     /// only while a trial runs.
     #[must_use]
     pub fn quarantined(&self, parts: &[PromptPart], now: Millis) -> Option<PromptPart> {
+        let now = now + TIME_OFFSET;
         let is_quarantined = |part: &PromptPart| {
             let known = self.quarantines.get(part);
             known.is_some_and(|known| self.status(known, now) == PoisonStatus::Quarantined)
@@ -224,6 +236,7 @@
         if let Some(part) = self.quarantined(parts, now) {
             return Some(part);
         }
+        let now = now + TIME_OFFSET;
         let on_probation = |part: &PromptPart| self.quarantines.contains_key(part);
         let tried: Vec<PromptPart> = parts.iter().copied().filter(on_probation).collect();
         if let Some(part) = tried.iter().find(|part| !may_try(**part)) {
@@ -245,8 +258,9 @@
     /// Number of crashes that count against a part, and time since the last one in milliseconds.
     #[must_use]
     pub fn crash_count(&self, part: PromptPart, now: Millis) -> (usize, Millis) {
+        let now = now + TIME_OFFSET;
         let crashes = self.crashes_of(part);
-        let last = crashes.last().map_or(now, |index| self.crashes[*index].at);
+        let last = self.last_of(&crashes).unwrap_or(now);
         (crashes.len(), now.saturating_sub(last))
     }
 
@@ -273,12 +287,21 @@
         counted.map(|(index, _)| index).collect()
     }
 
+    /// Time of the last of these crashes.
+    fn last_of(&self, crashes: &BTreeSet<usize>) -> Option<Millis> {
+        crashes.iter().map(|index| self.crashes[*index].at).max()
+    }
+
     /// Number of crashes that may have separate causes.
     fn moments(&self, crashes: &BTreeSet<usize>) -> usize {
+        let mut times: Vec<Millis> = crashes
+            .iter()
+            .map(|index| self.crashes[*index].at)
+            .collect();
+        times.sort_unstable();
         let mut count = 0;
         let mut last: Option<Millis> = None;
-        for index in crashes {
-            let at = self.crashes[*index].at;
+        for at in times {
             if last.is_none_or(|last| at.saturating_sub(last) >= COMMON_CAUSE_WINDOW) {
                 count += 1;
                 last = Some(at);
@@ -324,7 +347,7 @@
                 UNPROVEN_CRASHES
             };
             if self.moments(&unexplained) >= threshold {
-                let last = suspect.crashes.last().map(|index| self.crashes[*index].at);
+                let last = self.last_of(&suspect.crashes);
                 let count = suspect.crashes.len();
                 blamed.insert(suspect.part, (last.unwrap_or(now), count));
                 explained.extend(suspect.crashes);
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -50,6 +50,8 @@
     pub run: String,
     /// Shared parts of the run's prompt, in the order of the prompt.
     pub parts: Vec<PromptPart>,
+    /// Time since the crash, when the report was passed on, in milliseconds.
+    pub age: Millis,
 }
 
 #[derive(Debug)]
@@ -128,6 +130,7 @@
                 report: report.clone(),
                 run: String::new(),
                 parts: Vec::new(),
+                age: 0,
             },
             now,
         )
--- a/crates/policy/tests/part_blame.rs
+++ b/crates/policy/tests/part_blame.rs
@@ -44,14 +44,14 @@
                 number += 1;
                 let endpoint = EndpointId::new(format!("endpoint-{number}"));
                 for (index, parts) in runs.iter().copied().enumerate() {
-                    table.record_crash(&endpoint, &format!("{number}/{index}"), parts, now);
+                    table.record_crash(&endpoint, &format!("{number}/{index}"), parts, 0, now);
                 }
             }
             Step::CommonCrash(endpoints, parts) => {
                 for _ in 0..*endpoints {
                     number += 1;
                     let endpoint = EndpointId::new(format!("endpoint-{number}"));
-                    table.record_crash(&endpoint, &format!("{number}/0"), parts, now);
+                    table.record_crash(&endpoint, &format!("{number}/0"), parts, 0, now);
                 }
             }
             Step::Write(parts) => {
@@ -202,7 +202,8 @@
     let mut table = PartTable::new(QUARANTINE_TIME);
     let endpoint = EndpointId::new("endpoint-1");
     for number in 0..6 {
-        table.record_crash(&endpoint, "run", &[CRASHING], number * 5_000);
+        let now = number * 5_000;
+        table.record_crash(&endpoint, "run", &[CRASHING], 0, now);
     }
     assert_eq!(table.crash_count(CRASHING, 30_000).0, 1);
 }
@@ -216,8 +217,24 @@
     assert_eq!(table.admit(parts, |_| false, ends_at), Some(CRASHING));
     assert_eq!(table.admit(parts, |_| true, ends_at), None);
     assert_eq!(table.admit(parts, |_| true, ends_at + 1), Some(CRASHING));
-    table.record_crash(&EndpointId::new("trial"), "trial", parts, ends_at + 10);
+    let at = ends_at + 10;
+    table.record_crash(&EndpointId::new("trial"), "trial", parts, 0, at);
     let later = ends_at + 10 + 4 * QUARANTINE_TIME;
     assert_eq!(table.admit(parts, |_| true, later - 1), Some(CRASHING));
     assert_eq!(table.admit(parts, |_| true, later), None);
 }
+
+#[test]
+fn crashes_that_are_read_at_once_count_by_their_ages() {
+    let read_at = 10;
+    let of_ages = |ages: [Millis; 3]| {
+        let mut table = PartTable::new(QUARANTINE_TIME);
+        for (number, age) in ages.into_iter().enumerate() {
+            let endpoint = EndpointId::new(format!("endpoint-{number}"));
+            table.record_crash(&endpoint, &number.to_string(), &[CRASHING], age, read_at);
+        }
+        table.quarantined(&[CRASHING], read_at)
+    };
+    assert_eq!(of_ages([1_000, 3_000, 2_000]), Some(CRASHING));
+    assert_eq!(of_ages([1_000, 900, 950]), None);
+}
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -110,6 +110,7 @@
         report: report("one"),
         run: run.to_owned(),
         parts: Vec::new(),
+        age: 0,
     };
     for (run, at) in [("a", 0), ("a", 60_000), ("b", 120_000), ("b", 180_000)] {
         table.record_run(&crash(run), at);
--- a/crates/relay/src/core/crashes.rs
+++ b/crates/relay/src/core/crashes.rs
@@ -63,7 +63,9 @@
     /// Takes up to `count` crash notices that other instances have yet to learn, the oldest first.
     #[must_use]
     pub fn take_crash_notices(&self, count: usize) -> Vec<CrashNotice> {
-        self.dependencies.crashes.borrow_mut().take_unshared(count)
+        let now = self.now();
+        let mut crashes = self.dependencies.crashes.borrow_mut();
+        crashes.take_unshared(count, now)
     }
 
     /// Applies crash notices of the instance `writer`.
--- a/crates/relay/src/crash_registry.rs
+++ b/crates/relay/src/crash_registry.rs
@@ -52,7 +52,8 @@
     table: PoisonTable,
     parts: PartTable,
     silent_runs: VecDeque<SilentRun>,
-    unshared: VecDeque<CrashNotice>,
+    /// With the time of each.
+    unshared: VecDeque<(Millis, CrashNotice)>,
     /// Name of this incarnation of the instance; the names of its runs begin with it.
     instance: String,
     last_run: u64,
@@ -164,7 +165,11 @@
             .into_iter()
             .partition::<VecDeque<_>, _>(|run| is_lost(&run.crash.report.endpoint));
         self.silent_runs = left;
-        let crashes: Vec<RunCrash> = lost.into_iter().map(|run| run.crash).collect();
+        let crash = |run: SilentRun| RunCrash {
+            age: now.saturating_sub(run.at),
+            ..run.crash
+        };
+        let crashes: Vec<RunCrash> = lost.into_iter().map(crash).collect();
         for crash in &crashes {
             self.record_own(crash.clone(), now);
         }
@@ -182,7 +187,7 @@
         self.run_written(parts, now);
         let is_new = self.clear(fingerprint);
         if is_new {
-            self.share(CrashNotice::Served(fingerprint));
+            self.share(CrashNotice::Served(fingerprint), now);
         }
         is_new
     }
@@ -191,7 +196,7 @@
     pub fn run_written(&mut self, parts: &[PromptPart], now: Millis) {
         let shared = self.parts.record_written(parts, now);
         if !shared.is_empty() {
-            self.share(CrashNotice::Written(shared));
+            self.share(CrashNotice::Written(shared), now);
         }
     }
 
@@ -204,7 +209,7 @@
                 self.table.record_run(crash, now);
                 let CrashReport { endpoint, .. } = &crash.report;
                 self.parts
-                    .record_crash(endpoint, &crash.run, &crash.parts, now);
+                    .record_crash(endpoint, &crash.run, &crash.parts, crash.age, now);
                 self.table.crashes(fingerprint) > known
             }
             CrashNotice::Served(fingerprint) => self.clear(*fingerprint),
@@ -221,10 +226,18 @@
         !self.unshared.is_empty()
     }
 
-    /// Takes up to `count` notices that have not been shared, the oldest first.
-    pub fn take_unshared(&mut self, count: usize) -> Vec<CrashNotice> {
+    /// Takes up to `count` notices that have not been shared, the oldest first, with their ages.
+    pub fn take_unshared(&mut self, count: usize, now: Millis) -> Vec<CrashNotice> {
         let count = count.min(self.unshared.len());
-        self.unshared.drain(..count).collect()
+        let taken = self.unshared.drain(..count);
+        let aged = taken.map(|(at, notice)| match notice {
+            CrashNotice::Crashed(crash) => CrashNotice::Crashed(RunCrash {
+                age: crash.age + now.saturating_sub(at),
+                ..crash
+            }),
+            notice => notice,
+        });
+        aged.collect()
     }
 
     fn clear(&mut self, fingerprint: Fingerprint) -> bool {
@@ -239,6 +252,7 @@
             report,
             run: format!("{}/{}", self.instance, self.last_run),
             parts: parts.to_vec(),
+            age: 0,
         }
     }
 
@@ -246,14 +260,14 @@
         self.table.record_run(&crash, now);
         let endpoint = &crash.report.endpoint;
         self.parts
-            .record_crash(endpoint, &crash.run, &crash.parts, now);
-        self.share(CrashNotice::Crashed(crash));
+            .record_crash(endpoint, &crash.run, &crash.parts, crash.age, now);
+        self.share(CrashNotice::Crashed(crash), now);
     }
 
-    fn share(&mut self, notice: CrashNotice) {
+    fn share(&mut self, notice: CrashNotice, now: Millis) {
         if self.unshared.len() >= MAX_UNSHARED {
             self.unshared.pop_front();
         }
-        self.unshared.push_back(notice);
+        self.unshared.push_back((now, notice));
     }
 }
