--- a/crates/policy/src/part_blame.rs
+++ b/crates/policy/src/part_blame.rs
@@ -94,7 +94,7 @@
     quarantine_time: Millis,
 }
 
-/// A part that is quarantined since some evidence, or no longer.
+/// A change of the quarantine of a part.
 #[derives::value]
 pub enum BlameChange {
     /// The part is blamed for this number of crashes.
--- a/crates/relay/src/core/crashes.rs
+++ b/crates/relay/src/core/crashes.rs
@@ -247,7 +247,7 @@
         Refusal::new(RefusalReason::Quarantined, request.time_left(now))
     }
 
-    /// Logs the parts of prompts that are quarantined since the last call, or no longer.
+    /// Logs the parts of prompts that were blamed or cleared since the last call.
     pub(super) fn log_blame_changes(crashes: &mut CrashRegistry) {
         for change in crashes.take_blame_changes() {
             match change {
