Count the runs of a stream that broke off in the middle

Cause: a run that failed before its first event counted against the route's attempts, and one that was replaced, but not one that broke off after an event.

Evidence: stream_runs_on_no_more_engines_than_its_route_allows, three engines that break streams off: 3 runs before (allowed 2), now 2. The other tests of whole_path pass.

--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -77,6 +77,7 @@
     last_event: Option<String>,
     excluded: Vec<EndpointId>,
     tries: u32,
+    /// Number of runs that have ended without the whole stream, or were replaced.
     runs: u32,
     retry: Option<RetryReason>,
     silence_policy: SilencePolicy,
@@ -250,6 +251,7 @@
     /// possible.
     async fn fail_over(&mut self, error: RunError) -> Option<UnfinishedReason> {
         if let Some(run) = self.run.take() {
+            self.runs += 1;
             self.report_failure(&run.guard, &run.host.endpoint, &error);
         }
         if self.request.time_left(self.core.now()) < MIN_TIME_LEFT {
