Blame later parts first, and share which parts are blamed

What callers would see: an instance that had started anew refused all requests with a sound first part (LOST).

Tried and left: that an instance keeps a blame once it has it (it keeps a wrong one as well).

Change: among unproven parts the later ones are blamed first; a part that two blamed ones have in common is blamed in their place. Blames are shared: an instance that knows of a write answers with it, the others blame the part at its first crash.

--- a/crates/policy/src/part_blame.rs
+++ b/crates/policy/src/part_blame.rs
@@ -3,8 +3,8 @@
 //! An endpoint that crashes takes all its runs with it, and requests that have the crashing part in
 //! common have sound parts in common too. So a part is blamed on evidence of both kinds: endpoints
 //! that crashed before a run with the part had written for some time, and runs with the part that
-//! have written since. Among the parts that remain, the one that explains most crashes is blamed
-//! first, and the crashes that it explains count against no other part.
+//! have written since. Among the parts that remain, those that stand later in prompts, and so belong
+//! to fewer requests, are blamed first, and the crashes that they explain count against no other part.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -19,6 +19,13 @@
 /// Number of crashes after which a part is blamed that runs had written on before.
 const PROVEN_CRASHES: usize = 5;
 
+/// Number of crashes after which a part is blamed that another instance blames.
+const VERDICT_CRASHES: usize = 1;
+
+/// Number of blamed parts whose crashes another one has in common from which it is blamed in their
+/// place.
+const COMMON_CAUSE_PARTS: usize = 2;
+
 /// Crashes of several endpoints within this time count as one, in milliseconds: they have a common
 /// cause, such as the loss of a rack or of a link.
 const COMMON_CAUSE_WINDOW: Millis = 250;
@@ -80,6 +87,19 @@
     position: usize,
     /// Whether a run had written on the part before the crashes.
     is_proven: bool,
+    /// Whether another instance blames the part.
+    has_verdict: bool,
+}
+
+impl SuspectPart {
+    /// Number of crashes from which the part is blamed.
+    fn threshold(&self) -> usize {
+        match (self.has_verdict, self.is_proven) {
+            (true, _) => VERDICT_CRASHES,
+            (false, false) => UNPROVEN_CRASHES,
+            (false, true) => PROVEN_CRASHES,
+        }
+    }
 }
 
 /// Crashes, writes and quarantines by part of a prompt.
@@ -89,6 +109,8 @@
     /// When a run that wrote had the part.
     written: HashMap<PromptPart, Millis>,
     quarantines: BTreeMap<PromptPart, PartQuarantine>,
+    /// Parts that another instance blames and no run is known to have written on.
+    verdicts: BTreeSet<PromptPart>,
     /// Changes that have not been taken.
     changes: Vec<BlameChange>,
     quarantine_time: Millis,
@@ -148,6 +170,7 @@
             crashes: VecDeque::new(),
             written: HashMap::new(),
             quarantines: BTreeMap::new(),
+            verdicts: BTreeSet::new(),
             changes: Vec::new(),
             quarantine_time,
         }
@@ -199,7 +222,8 @@
         for part in parts {
             let crashes = self.crashes_of(*part);
             is_excused |= !crashes.is_empty();
-            if self.moments(&crashes) >= SHARED_WRITE_CRASHES {
+            let is_blamed_elsewhere = self.verdicts.remove(part);
+            if is_blamed_elsewhere || self.moments(&crashes) >= SHARED_WRITE_CRASHES {
                 shared.push(*part);
             }
             self.written.insert(*part, now);
@@ -250,6 +274,27 @@
         None
     }
 
+    /// Records that another instance blames `part`. It may know of writes that this one does not, which
+    /// has perhaps just started: the part explains crashes before others do. Returns false if a run is
+    /// known to have written on the part since its last crash, of which the other instance should
+    /// hear.
+    pub fn record_verdict(&mut self, part: PromptPart, now: Millis) -> bool {
+        let now = now + TIME_OFFSET;
+        if self.written.contains_key(&part) && self.crashes_of(part).is_empty() {
+            return false;
+        }
+        if self.verdicts.insert(part) {
+            self.update_quarantines(now);
+        }
+        true
+    }
+
+    /// Whether another instance blames `part`, as far as is known.
+    #[must_use]
+    pub fn has_verdict(&self, part: PromptPart) -> bool {
+        self.verdicts.contains(&part)
+    }
+
     /// Takes the changes since the last call.
     pub fn take_changes(&mut self) -> Vec<BlameChange> {
         std::mem::take(&mut self.changes)
@@ -324,41 +369,61 @@
             crashes: self.crashes_of(part),
             position,
             is_proven: self.written.contains_key(&part),
+            has_verdict: self.verdicts.contains(&part),
         };
         let mut suspects: Vec<SuspectPart> = positions.into_iter().map(suspect).collect();
         suspects.retain(|suspect| !suspect.crashes.is_empty());
         suspects.sort_by_key(|suspect| {
             let coverage = Reverse(suspect.crashes.len());
-            (suspect.is_proven, coverage, Reverse(suspect.position))
+            (
+                Reverse(suspect.has_verdict),
+                suspect.is_proven,
+                Reverse(suspect.position),
+                coverage,
+            )
         });
         suspects
     }
 
-    /// Blames parts until no suspect has enough crashes that are not explained.
-    fn update_quarantines(&mut self, now: Millis) {
+    /// The parts that are to blame, with the crashes of each: suspects with enough crashes that those
+    /// before them do not explain.
+    fn blamed_parts(&self) -> BTreeMap<PromptPart, BTreeSet<usize>> {
+        let suspects = self.suspects();
         let mut explained: BTreeSet<usize> = BTreeSet::new();
-        let mut blamed = BTreeMap::new();
-        for suspect in self.suspects() {
-            let unexplained: BTreeSet<usize> =
-                suspect.crashes.difference(&explained).copied().collect();
-            let threshold = if suspect.is_proven {
-                PROVEN_CRASHES
-            } else {
-                UNPROVEN_CRASHES
-            };
-            if self.moments(&unexplained) >= threshold {
-                let last = self.last_of(&suspect.crashes);
-                let count = suspect.crashes.len();
-                blamed.insert(suspect.part, (last.unwrap_or(now), count));
-                explained.extend(suspect.crashes);
+        let mut blamed: BTreeMap<PromptPart, BTreeSet<usize>> = BTreeMap::new();
+        for suspect in &suspects {
+            let unexplained = suspect.crashes.difference(&explained).copied().collect();
+            if self.moments(&unexplained) >= suspect.threshold() {
+                explained.extend(&suspect.crashes);
+                blamed.insert(suspect.part, suspect.crashes.clone());
             }
         }
+        // A part that all crashes of several blamed ones have in common is their cause.
+        let unproven = suspects.iter().filter(|suspect| !suspect.is_proven);
+        for suspect in unproven.rev() {
+            let is_covered = |crashes: &BTreeSet<usize>| crashes.is_subset(&suspect.crashes);
+            let covered = blamed
+                .values()
+                .filter(|crashes| is_covered(crashes))
+                .count();
+            if !blamed.contains_key(&suspect.part) && covered >= COMMON_CAUSE_PARTS {
+                blamed.retain(|_, crashes| !is_covered(crashes));
+                blamed.insert(suspect.part, suspect.crashes.clone());
+            }
+        }
+        blamed
+    }
+
+    /// Decides anew which parts are to blame.
+    fn update_quarantines(&mut self, now: Millis) {
+        let blamed = self.blamed_parts();
         let mut former = std::mem::take(&mut self.quarantines);
-        for (part, (last_crash, count)) in blamed {
+        for (part, crashes) in blamed {
+            let last_crash = self.last_of(&crashes).unwrap_or(now);
             let quarantine = if let Some(known) = former.remove(&part) {
                 self.renewed(known, last_crash)
             } else {
-                self.changes.push(BlameChange::Blamed(part, count));
+                self.changes.push(BlameChange::Blamed(part, crashes.len()));
                 PartQuarantine {
                     last_crash,
                     renewals: 0,
--- a/crates/relay/src/core/crashes.rs
+++ b/crates/relay/src/core/crashes.rs
@@ -79,7 +79,7 @@
                     (crash.report.fingerprint, crash.report.endpoint.as_str())
                 }
                 CrashNotice::Served(fingerprint) => (*fingerprint, ""),
-                CrashNotice::Written(_) => continue,
+                CrashNotice::Written(_) | CrashNotice::Blamed(_) => continue,
             };
             // Each instance learns of each crash. A single one decides nothing, and its own instance
             // logs it.
@@ -93,7 +93,7 @@
                 crashes = crashes.crashes(fingerprint, now).0,
             });
         }
-        Self::log_blame_changes(&mut crashes);
+        self.settle_blame(&mut crashes);
     }
 
     /// Attributes the loss of endpoints to the runs that fell silent on them.
@@ -122,8 +122,7 @@
                 crashes = crashes.crashes(fingerprint, now).0,
             });
         }
-        self.announce_notices(&crashes);
-        Self::log_blame_changes(&mut crashes);
+        self.settle_blame(&mut crashes);
     }
 
     /// Records a run that was sent and ended without a whole answer. The logged fingerprint connects
@@ -159,8 +158,7 @@
             RunOutcome::Silent => crashes.run_fell_silent(report, parts, now),
             _ => {}
         }
-        Self::log_blame_changes(&mut crashes);
-        self.announce_notices(&crashes);
+        self.settle_blame(&mut crashes);
         spdlog::info!("run failed", kv: {
             request = request.head.request_id.as_str(),
             fingerprint = fingerprint.to_string().as_str(),
@@ -199,8 +197,7 @@
     pub(crate) fn run_written(&self, request: &RelayRequest) {
         let mut crashes = self.dependencies.crashes.borrow_mut();
         crashes.run_written(&request.head.shared_parts, self.now());
-        self.announce_notices(&crashes);
-        Self::log_blame_changes(&mut crashes);
+        self.settle_blame(&mut crashes);
     }
 
     /// Records that an endpoint has answered a request completely.
@@ -209,8 +206,7 @@
         let parts = &request.head.shared_parts;
         let mut crashes = self.dependencies.crashes.borrow_mut();
         let is_cleared = crashes.run_served(fingerprint, parts, self.now());
-        Self::log_blame_changes(&mut crashes);
-        self.announce_notices(&crashes);
+        self.settle_blame(&mut crashes);
         if is_cleared {
             spdlog::info!("crash records cleared", kv: {
                 request = request.head.request_id.as_str(),
@@ -219,13 +215,6 @@
         }
     }
 
-    /// Wakes the task that shares crash notices if there are any.
-    pub(super) fn announce_notices(&self, crashes: &CrashRegistry) {
-        if crashes.has_unshared() {
-            self.notices_added.notify_one();
-        }
-    }
-
     pub(super) fn quarantine_refusal(
         crashes: &CrashRegistry,
         request: &RelayRequest,
@@ -247,9 +236,10 @@
         Refusal::new(RefusalReason::Quarantined, request.time_left(now))
     }
 
-    /// Logs the parts of prompts that were blamed or cleared since the last call.
-    pub(super) fn log_blame_changes(crashes: &mut CrashRegistry) {
-        for change in crashes.take_blame_changes() {
+    /// Logs the parts of prompts that were blamed or cleared since the last call, and wakes the task
+    /// that shares crash notices if there are any.
+    fn settle_blame(&self, crashes: &mut CrashRegistry) {
+        for change in crashes.take_blame_changes(self.now()) {
             match change {
                 BlameChange::Blamed(part, count) => {
                     spdlog::warn!("prompt part quarantined", kv: {
@@ -262,5 +252,8 @@
                 }
             }
         }
+        if crashes.has_unshared() {
+            self.notices_added.notify_one();
+        }
     }
 }
--- a/crates/relay/src/crash_registry.rs
+++ b/crates/relay/src/crash_registry.rs
@@ -28,6 +28,8 @@
     Served(Fingerprint),
     /// A run has written on prompts with these parts.
     Written(Vec<PromptPart>),
+    /// The instance blames a part.
+    Blamed(PromptPart),
 }
 
 /// Why a run must not be sent.
@@ -124,9 +126,18 @@
         }
     }
 
-    /// Takes the changes of quarantined parts since the last call.
-    pub fn take_blame_changes(&mut self) -> Vec<BlameChange> {
-        self.parts.take_changes()
+    /// Takes the changes of quarantined parts since the last call, and shares which parts are blamed.
+    pub fn take_blame_changes(&mut self, now: Millis) -> Vec<BlameChange> {
+        let changes = self.parts.take_changes();
+        for change in &changes {
+            if let BlameChange::Blamed(part, _) = change
+                && self.parts.quarantined(&[*part], now).is_some()
+                && !self.parts.has_verdict(*part)
+            {
+                self.share(CrashNotice::Blamed(*part), now);
+            }
+        }
+        changes
     }
 
     /// Number of crashes known for a request, and time since the last one in milliseconds.
@@ -217,6 +228,13 @@
                 self.parts.record_written(parts, now);
                 true
             }
+            CrashNotice::Blamed(part) => {
+                let is_agreed = self.parts.record_verdict(*part, now);
+                if !is_agreed {
+                    self.share(CrashNotice::Written(vec![*part]), now);
+                }
+                is_agreed
+            }
         }
     }
 
