--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -15,16 +15,21 @@
 
 /// Messages of the log lines about a change of an instance's view or of a dependency. They have to
 /// match the messages that the instances log, word for word.
-const STATE_CHANGE_MESSAGES: [&str; 17] = [
+const STATE_CHANGE_MESSAGES: [&str; 22] = [
     "configuration applied",
     "crash notice applied",
+    "cut off from endpoints; sending through other instances",
     "endpoint changed",
     "endpoint changed its limit",
     "endpoint entry missing",
     "endpoint lost under a run",
     "endpoint says that it leaves",
+    "endpoint wants no requests for a time",
+    "endpoints reached directly again",
     "limit learned from a member",
     "phase changed",
+    "prompt part cleared",
+    "prompt part quarantined",
     "reader lost",
     "registration lease expired",
     "member session ended",
