Log the family of a request that fails or is refused by quarantine

The logs could not tell repetitions that differ in their query from different requests. The family is the hash of path, account and body; the fingerprint is unchanged. No change of behaviour.

--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -18,6 +18,15 @@
     }
 }
 
+/// Hashes that identify a request across attempts and instances.
+#[derives::tag]
+pub struct RequestFingerprints {
+    /// Hash of path, query, account and body.
+    pub exact: Fingerprint,
+    /// The same without the query: requests that differ in their query only are a family.
+    pub family: Fingerprint,
+}
+
 /// Quarantine status of a fingerprint.
 #[derives::tag]
 pub enum PoisonStatus {
--- a/crates/relay/src/core/crashes.rs
+++ b/crates/relay/src/core/crashes.rs
@@ -30,7 +30,7 @@
         let now = self.now();
         let crashes = self.dependencies.crashes.borrow();
         let parts = &request.head.shared_parts;
-        match crashes.quarantine_cause(request.fingerprint(), parts, now) {
+        match crashes.quarantine_cause(request.fingerprints().exact, parts, now) {
             Some(cause) => Err(Self::quarantine_refusal(&crashes, request, cause, now)),
             None => Ok(()),
         }
@@ -43,7 +43,7 @@
         let parts = &request.head.shared_parts;
         let may_try = |hash| self.placement().may_try(Fingerprint(hash));
         let mut crashes = self.dependencies.crashes.borrow_mut();
-        match crashes.admit(request.fingerprint(), parts, may_try, now) {
+        match crashes.admit(request.fingerprints().exact, parts, may_try, now) {
             Some(cause) => Err(Self::quarantine_refusal(&crashes, request, cause, now)),
             None => Ok(()),
         }
@@ -139,7 +139,7 @@
             reason,
             progress,
         } = failure;
-        let fingerprint = request.fingerprint();
+        let fingerprint = request.fingerprints().exact;
         let now = self.now();
         let mut crashes = self.dependencies.crashes.borrow_mut();
         let report = CrashReport {
@@ -162,6 +162,7 @@
         spdlog::info!("run failed", kv: {
             request = request.head.request_id.as_str(),
             fingerprint = fingerprint.to_string().as_str(),
+            family = request.fingerprints().family.to_string().as_str(),
             endpoint = endpoint.as_str(),
             outcome:? = outcome,
             reason = reason.code(),
@@ -202,7 +203,7 @@
 
     /// Records that an endpoint has answered a request completely.
     pub(crate) fn run_served(&self, request: &RelayRequest) {
-        let fingerprint = request.fingerprint();
+        let fingerprint = request.fingerprints().exact;
         let parts = &request.head.shared_parts;
         let mut crashes = self.dependencies.crashes.borrow_mut();
         let is_cleared = crashes.run_served(fingerprint, parts, self.now());
@@ -221,14 +222,15 @@
         cause: QuarantineCause,
         now: Millis,
     ) -> Refusal {
-        let (count, age) = crashes.crashes_behind(cause, request.fingerprint(), now);
+        let (count, age) = crashes.crashes_behind(cause, request.fingerprints().exact, now);
         let part = match cause {
             QuarantineCause::Request => String::new(),
             QuarantineCause::Part(part) => part.to_string(),
         };
         spdlog::info!("run refused by quarantine", kv: {
             request = request.head.request_id.as_str(),
-            fingerprint = request.fingerprint().to_string().as_str(),
+            fingerprint = request.fingerprints().exact.to_string().as_str(),
+            family = request.fingerprints().family.to_string().as_str(),
             part = part.as_str(),
             crashes = count,
             age = age,
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -147,7 +147,7 @@
             arrived,
             ends_at,
             trace: RequestTrace::default(),
-            fingerprint: OnceCell::new(),
+            fingerprints: OnceCell::new(),
         })
     }
 
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -7,7 +7,7 @@
 use ntex::http::{HeaderMap, Method};
 use policy::catalog::{AdmittedRoute, ServiceCatalog};
 use policy::ids::{EndpointId, Millis, PoolId};
-use policy::poison::Fingerprint;
+use policy::poison::{Fingerprint, RequestFingerprints};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::dialect::{CallerHead, ForwardHead, WireDialect};
@@ -37,8 +37,8 @@
     pub ends_at: Millis,
     /// Data for the log line at the end of the request.
     pub trace: RequestTrace,
-    /// Result of [`Self::fingerprint`], once computed.
-    pub(crate) fingerprint: OnceCell<Fingerprint>,
+    /// Result of [`Self::fingerprints`], once computed.
+    pub(crate) fingerprints: OnceCell<RequestFingerprints>,
 }
 
 impl RelayRequest {
@@ -48,20 +48,28 @@
         self.ends_at.saturating_sub(now)
     }
 
-    /// Hash of path, query, account and body; the same for every attempt.
+    /// Hashes of the request; the same for every attempt.
     #[must_use]
-    pub fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| {
-            let mut hash = Xxh3::new();
-            hash.update(self.path_and_query.as_bytes());
-            if let Some(account) = &self.admitted.account {
-                hash.update(account.as_str().as_bytes());
+    pub fn fingerprints(&self) -> RequestFingerprints {
+        *self.fingerprints.get_or_init(|| {
+            let path = self.path_and_query.split('?').next().unwrap_or("");
+            RequestFingerprints {
+                exact: self.hash_with(&self.path_and_query),
+                family: self.hash_with(path),
             }
-            hash.update(&self.body);
-            Fingerprint(hash.digest())
         })
     }
 
+    fn hash_with(&self, target: &str) -> Fingerprint {
+        let mut hash = Xxh3::new();
+        hash.update(target.as_bytes());
+        if let Some(account) = &self.admitted.account {
+            hash.update(account.as_str().as_bytes());
+        }
+        hash.update(&self.body);
+        Fingerprint(hash.digest())
+    }
+
     /// Headers for an endpoint, with the metadata in `head`.
     #[must_use]
     pub fn forward_headers(&self, dialect: &dyn WireDialect, head: &ForwardHead<'_>) -> HeaderMap {
--- a/crates/relay/src/stream/placing.rs
+++ b/crates/relay/src/stream/placing.rs
@@ -125,7 +125,7 @@
             retry: self.retry,
             excluded: [self.excluded.as_slice(), &self.core.held_endpoints()].concat(),
             caller_domain: None,
-            fingerprint: request.fingerprint(),
+            fingerprint: request.fingerprints().exact,
         }
     }
 }
