--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -169,6 +169,7 @@
             endpoint.set_crash_plan(CrashPlan {
                 trigger: trigger.clone(),
                 point,
+                survives_every: None,
             });
             endpoint_paths.push(FaultProxy::new(Ipv4Addr::LOCALHOST, endpoint.address()).await?);
             endpoints.push(endpoint);
