Weigh whole answers against crashes in the order of time

What endpoints saw: a request that crashes endpoints was sent on without end if one of its runs was good now and then.

Cause: one complete answer cleared every crash of a request, at all instances, even while it was quarantined. A call that may run once was cleared by its endpoint's own 500 as well, and a notice of a good run by crashes that came after it.

Policy tests for the order of reports.

Ruled out: that answers count for nothing (a sound request that ran on endpoints which crashed for another reason would be refused for 30 s), one crash each (a random walk if every second run is good).

Change: PoisonTable keeps the runs of a fingerprint in the order of time. A crash weighs as much as three complete answers, and an answer excuses only crashes before it. Notices of good runs carry the name and the end of the run; an older daemon ignores both fields, and its own notices have neither. A silent run of a request is no longer forgotten when another run of it is served.

served_answer_clears_a_fingerprint asserted that one answer clears all, which is the fault; answers_end_a_quarantine_and_count_once and complete_answers_excuse_crashes_that_came_before_them take its place: an answer still opens a quarantine at the threshold, and nine clear three crashes.

--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -63,9 +63,29 @@
     pub age: Millis,
 }
 
+/// A run that an endpoint answered completely, with a name that is unique in the fleet.
+#[derives::value]
+pub struct ServedRun {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Name of the run; empty if the report has none.
+    pub run: String,
+    /// Time since the end of the run, when the report was passed on, in milliseconds.
+    pub age: Millis,
+}
+
+/// What a run has shown of its request.
 #[derive(Debug)]
-struct RecordedCrash {
-    endpoint: EndpointId,
+enum RunFinding {
+    /// The endpoint crashed.
+    Crashed(EndpointId),
+    /// The endpoint answered completely.
+    Served,
+}
+
+#[derive(Debug)]
+struct RunEvidence {
+    finding: RunFinding,
     at: Millis,
     /// Name of the run; empty if the report has none.
     run: String,
@@ -73,12 +93,53 @@
 
 #[derive(Debug)]
 struct CrashRecord {
-    crashes: Vec<RecordedCrash>,
+    /// In the order of time, which need not be that of the reports.
+    evidence: Vec<RunEvidence>,
+    /// When the last crash was recorded.
     last: Millis,
     /// Until when a run on probation excludes others.
     trial_until: Millis,
 }
 
+impl CrashRecord {
+    fn new(now: Millis) -> Self {
+        Self {
+            evidence: Vec::new(),
+            last: now,
+            trial_until: 0,
+        }
+    }
+
+    fn crashes(&self) -> usize {
+        let is_crash = |evidence: &&RunEvidence| matches!(evidence.finding, RunFinding::Crashed(_));
+        self.evidence.iter().filter(is_crash).count()
+    }
+
+    fn has_run(&self, run: &str) -> bool {
+        !run.is_empty() && self.evidence.iter().any(|evidence| evidence.run == run)
+    }
+
+    fn insert(&mut self, evidence: RunEvidence) {
+        if self.evidence.len() >= MAX_EVIDENCE {
+            self.evidence.remove(0);
+        }
+        let index = self
+            .evidence
+            .partition_point(|known| known.at <= evidence.at);
+        self.evidence.insert(index, evidence);
+    }
+
+    /// Weight of the crashes less that of the complete answers. An answer excuses only crashes that
+    /// came before it.
+    fn weight(&self) -> usize {
+        let add = |weight: usize, evidence: &RunEvidence| match evidence.finding {
+            RunFinding::Crashed(_) => weight + CRASH_WEIGHT,
+            RunFinding::Served => weight.saturating_sub(1),
+        };
+        self.evidence.iter().fold(0, add)
+    }
+}
+
 /// Crash records by fingerprint.
 #[derive(Debug)]
 pub struct PoisonTable {
@@ -104,6 +165,16 @@
 /// Longest quarantine, in milliseconds.
 const LONGEST_QUARANTINE: Millis = 3_600_000;
 
+/// Number of complete answers that excuse a crash. A sound request is served far more often than an
+/// endpoint crashes under it for another reason; one that crashes endpoints is hardly ever served.
+const CRASH_WEIGHT: usize = 3;
+
+/// Largest number of runs that are kept for a fingerprint; beyond it the oldest one is dropped.
+const MAX_EVIDENCE: usize = 64;
+
+/// Longest age that is believed of a report, in milliseconds: clocks of instances may differ.
+const LONGEST_REPORT_AGE: Millis = CRASH_RETENTION / 2;
+
 /// Largest number of records; beyond it the oldest ones are dropped.
 const MAX_RECORDS: usize = 10_000;
 
@@ -150,31 +221,49 @@
     pub fn record_run(&mut self, crash: &RunCrash, now: Millis) -> PoisonStatus {
         self.expire(now);
         let RunCrash { report, run, .. } = crash;
-        let record = self
-            .records
-            .entry(report.fingerprint)
-            .or_insert(CrashRecord {
-                crashes: Vec::new(),
-                last: now,
-                trial_until: 0,
-            });
-        let is_same_crash = |known: &RecordedCrash| {
-            let is_same_run = !run.is_empty() && known.run == *run;
-            let is_recent = now.saturating_sub(known.at) < SAME_CRASH_WINDOW;
-            is_same_run || (known.endpoint == report.endpoint && is_recent)
+        let at = evidence_time(crash.age, now);
+        let record = self.records.entry(report.fingerprint);
+        let record = record.or_insert_with(|| CrashRecord::new(now));
+        let is_same_crash = |known: &RunEvidence| match &known.finding {
+            RunFinding::Crashed(endpoint) => {
+                *endpoint == report.endpoint && at.abs_diff(known.at) < SAME_CRASH_WINDOW
+            }
+            RunFinding::Served => false,
         };
-        if !record.crashes.iter().any(is_same_crash) {
+        if !record.has_run(run) && !record.evidence.iter().any(is_same_crash) {
             record.last = now;
             record.trial_until = 0;
-            record.crashes.push(RecordedCrash {
-                endpoint: report.endpoint.clone(),
-                at: now,
+            record.insert(RunEvidence {
+                finding: RunFinding::Crashed(report.endpoint.clone()),
+                at,
                 run: run.clone(),
             });
         }
         self.status(report.fingerprint, now)
     }
 
+    /// Records that an endpoint has answered a run completely. Returns whether that excuses a crash,
+    /// so that other instances should hear of it.
+    pub fn record_served(&mut self, served: &ServedRun, now: Millis) -> bool {
+        let Some(record) = self.records.get_mut(&served.fingerprint) else {
+            return false;
+        };
+        if record.has_run(&served.run) {
+            return false;
+        }
+        let before = record.weight();
+        record.insert(RunEvidence {
+            finding: RunFinding::Served,
+            at: evidence_time(served.age, now),
+            run: served.run.clone(),
+        });
+        let is_excuse = record.weight() < before;
+        if is_excuse {
+            record.trial_until = 0;
+        }
+        is_excuse
+    }
+
     /// Status of `fingerprint` at `now`.
     #[must_use]
     pub fn status(&self, fingerprint: Fingerprint, now: Millis) -> PoisonStatus {
@@ -184,7 +273,11 @@
         if self.is_expired(record, now) {
             return PoisonStatus::Clear;
         }
-        if record.crashes.len() < self.threshold {
+        let weight = record.weight();
+        if weight == 0 {
+            return PoisonStatus::Clear;
+        }
+        if weight < self.threshold * CRASH_WEIGHT {
             return PoisonStatus::Suspect;
         }
         if now.saturating_sub(record.last) < self.quarantine_time(record) {
@@ -216,7 +309,7 @@
     #[must_use]
     pub fn crashes(&self, fingerprint: Fingerprint) -> usize {
         let record = self.records.get(&fingerprint);
-        record.map_or(0, |record| record.crashes.len())
+        record.map_or(0, CrashRecord::crashes)
     }
 
     /// Time since the last crash that is recorded for `fingerprint`; zero if there is none.
@@ -226,36 +319,33 @@
         record.map_or(0, |record| now.saturating_sub(record.last))
     }
 
-    /// Clears a fingerprint whose request finished with a complete answer.
-    ///
-    /// While a fingerprint is quarantined, it stays so.
+    /// Records that a request finished with a complete answer, unless its fingerprint is
+    /// quarantined.
     pub fn finished(&mut self, fingerprint: Fingerprint, now: Millis) {
         if self.status(fingerprint, now) != PoisonStatus::Quarantined {
-            self.records.remove(&fingerprint);
+            let served = ServedRun {
+                fingerprint,
+                run: String::new(),
+                age: 0,
+            };
+            self.record_served(&served, now);
         }
     }
 
-    /// Clears a fingerprint, quarantined or not: an endpoint has run it and lives. Returns whether
-    /// any crash was recorded.
-    pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
-        self.records.remove(&fingerprint).is_some()
-    }
-
     /// Quarantines a fingerprint that a peer reports as quarantined.
     pub fn quarantine(&mut self, fingerprint: Fingerprint, now: Millis) {
         if self.status(fingerprint, now) == PoisonStatus::Quarantined {
             return;
         }
         let known = self.crashes(fingerprint).max(self.threshold);
-        let unknown_crash = || RecordedCrash {
-            endpoint: EndpointId::new(""),
-            at: now,
+        let unknown_crash = || RunEvidence {
+            finding: RunFinding::Crashed(EndpointId::new("")),
+            at: evidence_time(0, now),
             run: String::new(),
         };
         let record = CrashRecord {
-            crashes: std::iter::repeat_with(unknown_crash).take(known).collect(),
-            last: now,
-            trial_until: 0,
+            evidence: std::iter::repeat_with(unknown_crash).take(known).collect(),
+            ..CrashRecord::new(now)
         };
         self.records.insert(fingerprint, record);
     }
@@ -275,7 +365,7 @@
 
     /// Length of the quarantine that the last crash of a record began.
     fn quarantine_time(&self, record: &CrashRecord) -> Millis {
-        let excess = record.crashes.len().saturating_sub(self.threshold);
+        let excess = (record.weight() / CRASH_WEIGHT).saturating_sub(self.threshold);
         let growth = QUARANTINE_GROWTH.saturating_pow(u32::try_from(excess).unwrap_or(u32::MAX));
         let longest = LONGEST_QUARANTINE.max(self.quarantine_time);
         self.quarantine_time.saturating_mul(growth).min(longest)
@@ -307,3 +397,9 @@
         age >= self.quarantine_time(record) + CRASH_RETENTION
     }
 }
+
+/// Time of a finding that was reported with this age. The offset gives findings from before the
+/// caller's clock began a time too.
+fn evidence_time(age: Millis, now: Millis) -> Millis {
+    now + LONGEST_REPORT_AGE - age.min(LONGEST_REPORT_AGE)
+}
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -1,7 +1,9 @@
 //! Quarantine of requests that crash endpoints.
 
 use jackdawpoint_policy::ids::{EndpointId, Millis};
-use jackdawpoint_policy::poison::{CrashReport, Fingerprint, PoisonStatus, PoisonTable, RunCrash};
+use jackdawpoint_policy::poison::{
+    CrashReport, Fingerprint, PoisonStatus, PoisonTable, RunCrash, ServedRun,
+};
 
 const QUARANTINE_TIME: Millis = 30_000;
 
@@ -118,12 +120,105 @@
     assert_eq!(table.crashes(FINGERPRINT), 2);
 }
 
+/// Runs of one request in the order in which reports on them arrive, each with its age.
+struct EvidenceCase {
+    name: &'static str,
+    /// `Some` names the endpoint that crashed, `None` stands for a complete answer.
+    runs: &'static [(Option<&'static str>, Millis)],
+    status: PoisonStatus,
+}
+
+#[test]
+fn complete_answers_excuse_crashes_that_came_before_them() {
+    const ONE: Option<&str> = Some("one");
+    const TWO: Option<&str> = Some("two");
+    const THREE: Option<&str> = Some("three");
+    const FOUR: Option<&str> = Some("four");
+    let case = |name, runs, status| EvidenceCase { name, runs, status };
+    let cases = [
+        case(
+            "one good run among bad ones",
+            &[(ONE, 50), (None, 40), (TWO, 30), (THREE, 20), (FOUR, 10)],
+            PoisonStatus::Quarantined,
+        ),
+        case(
+            "one good run after the third crash",
+            &[(ONE, 50), (TWO, 40), (THREE, 30), (None, 20)],
+            PoisonStatus::Suspect,
+        ),
+        case(
+            "report of a good run that came before all crashes",
+            &[(ONE, 30), (TWO, 20), (THREE, 10), (None, 40)],
+            PoisonStatus::Quarantined,
+        ),
+        case(
+            "good runs outweigh a crash",
+            &[(ONE, 50), (None, 40), (None, 30), (None, 20)],
+            PoisonStatus::Clear,
+        ),
+        case(
+            "good runs do not excuse later crashes",
+            &[
+                (None, 60),
+                (None, 50),
+                (None, 40),
+                (ONE, 30),
+                (TWO, 20),
+                (THREE, 10),
+            ],
+            PoisonStatus::Quarantined,
+        ),
+    ];
+    let now = 1_000;
+    for case in cases {
+        let mut table = table();
+        for (number, (endpoint, age)) in case.runs.iter().enumerate() {
+            let run = format!("run-{number}");
+            match endpoint {
+                Some(endpoint) => {
+                    table.record_run(
+                        &RunCrash {
+                            report: report(endpoint),
+                            run,
+                            parts: Vec::new(),
+                            age: *age,
+                        },
+                        now,
+                    );
+                }
+                None => {
+                    table.record_served(
+                        &ServedRun {
+                            fingerprint: FINGERPRINT,
+                            run,
+                            age: *age,
+                        },
+                        now,
+                    );
+                }
+            }
+        }
+        assert_eq!(table.status(FINGERPRINT, now), case.status, "{}", case.name);
+    }
+}
+
 #[test]
-fn served_answer_clears_a_fingerprint() {
+fn answers_end_a_quarantine_and_count_once() {
     let mut table = quarantined_at(0);
-    assert!(table.clear(FINGERPRINT));
-    assert_eq!(table.status(FINGERPRINT, 0), PoisonStatus::Clear);
-    assert!(!table.clear(FINGERPRINT));
+    let served = |run: &str| ServedRun {
+        fingerprint: FINGERPRINT,
+        run: run.to_owned(),
+        age: 0,
+    };
+    assert!(table.record_served(&served("a"), 10));
+    assert!(!table.record_served(&served("a"), 10));
+    assert_eq!(table.status(FINGERPRINT, 10), PoisonStatus::Suspect);
+    let answers = 3 * THRESHOLD;
+    for number in 1..answers {
+        assert!(table.record_served(&served(&number.to_string()), 10));
+    }
+    assert_eq!(table.status(FINGERPRINT, 10), PoisonStatus::Clear);
+    assert!(!table.record_served(&served("last"), 10));
 }
 
 #[test]
--- a/crates/relay/src/core/crashes.rs
+++ b/crates/relay/src/core/crashes.rs
@@ -78,7 +78,7 @@
                 CrashNotice::Crashed(crash) => {
                     (crash.report.fingerprint, crash.report.endpoint.as_str())
                 }
-                CrashNotice::Served(fingerprint) => (*fingerprint, ""),
+                CrashNotice::Served(served) => (served.fingerprint, ""),
                 CrashNotice::Written(_) | CrashNotice::Blamed(_) => continue,
             };
             // Each instance learns of each crash. A single one decides nothing, and its own instance
@@ -206,12 +206,15 @@
         let fingerprint = request.fingerprints().exact;
         let parts = &request.head.shared_parts;
         let mut crashes = self.dependencies.crashes.borrow_mut();
-        let is_cleared = crashes.run_served(fingerprint, parts, self.now());
+        let now = self.now();
+        let is_excuse = crashes.run_served(fingerprint, parts, now);
         self.settle_blame(&mut crashes);
-        if is_cleared {
-            spdlog::info!("crash records cleared", kv: {
+        if is_excuse {
+            spdlog::info!("crash excused by a whole answer", kv: {
                 request = request.head.request_id.as_str(),
                 fingerprint = fingerprint.to_string().as_str(),
+                crashes = crashes.crashes(fingerprint, now).0,
+                is_quarantined = crashes.quarantine_cause(fingerprint, parts, now).is_some(),
             });
         }
     }
--- a/crates/relay/src/crash_registry.rs
+++ b/crates/relay/src/crash_registry.rs
@@ -5,7 +5,7 @@
 
 use policy::ids::{EndpointId, Millis};
 use policy::part_blame::{BlameChange, PartTable};
-use policy::poison::{CrashReport, Fingerprint, PoisonStatus, PoisonTable, RunCrash};
+use policy::poison::{CrashReport, Fingerprint, PoisonStatus, PoisonTable, RunCrash, ServedRun};
 use policy::prompt_part::PromptPart;
 
 /// Largest number of reports that wait to be shared; beyond it the oldest one is dropped.
@@ -25,7 +25,7 @@
     /// An endpoint crashed under a run.
     Crashed(RunCrash),
     /// An endpoint has served the request.
-    Served(Fingerprint),
+    Served(ServedRun),
     /// A run has written on prompts with these parts.
     Written(Vec<PromptPart>),
     /// The instance blames a part.
@@ -187,8 +187,8 @@
         crashes
     }
 
-    /// Records that an endpoint has answered a request completely. Returns whether crashes were
-    /// attributed to the request before.
+    /// Records that an endpoint has answered a request completely. Returns whether that excuses a
+    /// crash.
     pub fn run_served(
         &mut self,
         fingerprint: Fingerprint,
@@ -196,11 +196,16 @@
         now: Millis,
     ) -> bool {
         self.run_written(parts, now);
-        let is_new = self.clear(fingerprint);
-        if is_new {
-            self.share(CrashNotice::Served(fingerprint), now);
+        let served = ServedRun {
+            fingerprint,
+            run: self.next_run_name(),
+            age: 0,
+        };
+        let is_excuse = self.table.record_served(&served, now);
+        if is_excuse {
+            self.share(CrashNotice::Served(served), now);
         }
-        is_new
+        is_excuse
     }
 
     /// Records that a run has written for some time on a prompt with these parts.
@@ -223,7 +228,7 @@
                     .record_crash(endpoint, &crash.run, &crash.parts, crash.age, now);
                 self.table.crashes(fingerprint) > known
             }
-            CrashNotice::Served(fingerprint) => self.clear(*fingerprint),
+            CrashNotice::Served(served) => self.table.record_served(served, now),
             CrashNotice::Written(parts) => {
                 self.parts.record_written(parts, now);
                 true
@@ -253,22 +258,24 @@
                 age: crash.age + now.saturating_sub(at),
                 ..crash
             }),
+            CrashNotice::Served(served) => CrashNotice::Served(ServedRun {
+                age: served.age + now.saturating_sub(at),
+                ..served
+            }),
             notice => notice,
         });
         aged.collect()
     }
 
-    fn clear(&mut self, fingerprint: Fingerprint) -> bool {
-        self.silent_runs
-            .retain(|run| run.crash.report.fingerprint != fingerprint);
-        self.table.clear(fingerprint)
+    fn next_run_name(&mut self) -> String {
+        self.last_run += 1;
+        format!("{}/{}", self.instance, self.last_run)
     }
 
     fn name_run(&mut self, report: CrashReport, parts: &[PromptPart]) -> RunCrash {
-        self.last_run += 1;
         RunCrash {
             report,
-            run: format!("{}/{}", self.instance, self.last_run),
+            run: self.next_run_name(),
             parts: parts.to_vec(),
             age: 0,
         }
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -111,7 +111,10 @@
         let guard = start_call(core, request, &mut excluded, ran).await?;
         let error = match try_call(core, request, &guard).await {
             Ok(answer) => {
-                core.run_served(request);
+                // An endpoint may still report an error while it goes down.
+                if !answer.status.is_server_error() {
+                    core.run_served(request);
+                }
                 return Ok(answer);
             }
             Err(error) => error,
