Quarantine a family of requests whose crashes no single one explains

What endpoints saw: a request that crashes endpoints and comes again with another query was sent on without end.

Cause: the fingerprint hashes the query, while the rule calls requests the same that agree in path, caller and body.

Change: crashes count for the family too, the request without its query, unless one request of the family explains them.

--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -1,6 +1,6 @@
 //! Quarantine of prompts that crash the endpoints that run them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 
 use crate::ids::{EndpointId, Millis};
@@ -55,6 +55,8 @@
 pub struct RunCrash {
     /// The crash.
     pub report: CrashReport,
+    /// Family of the request.
+    pub family: Fingerprint,
     /// Name of the run.
     pub run: String,
     /// Shared parts of the run's prompt, in the order of the prompt.
@@ -68,6 +70,8 @@
 pub struct ServedRun {
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
+    /// Family of the request.
+    pub family: Fingerprint,
     /// Name of the run; empty if the report has none.
     pub run: String,
     /// Time since the end of the run, when the report was passed on, in milliseconds.
@@ -77,8 +81,8 @@
 /// What a run has shown of its request.
 #[derive(Debug)]
 enum RunFinding {
-    /// The endpoint crashed.
-    Crashed(EndpointId),
+    /// The endpoint crashed. Of a family, the fingerprints that it ran are known.
+    Crashed(EndpointId, BTreeSet<Fingerprint>),
     /// The endpoint answered completely.
     Served,
 }
@@ -111,7 +115,8 @@
     }
 
     fn crashes(&self) -> usize {
-        let is_crash = |evidence: &&RunEvidence| matches!(evidence.finding, RunFinding::Crashed(_));
+        let is_crash =
+            |evidence: &&RunEvidence| matches!(evidence.finding, RunFinding::Crashed(..));
         self.evidence.iter().filter(is_crash).count()
     }
 
@@ -119,6 +124,24 @@
         !run.is_empty() && self.evidence.iter().any(|evidence| evidence.run == run)
     }
 
+    /// The fingerprints of the crash that is already recorded of `endpoint` at about the time `at`.
+    fn same_crash(
+        &mut self,
+        endpoint: &EndpointId,
+        at: Millis,
+    ) -> Option<&mut BTreeSet<Fingerprint>> {
+        self.evidence
+            .iter_mut()
+            .find_map(|known| match &mut known.finding {
+                RunFinding::Crashed(crashed, fingerprints)
+                    if crashed == endpoint && at.abs_diff(known.at) < SAME_CRASH_WINDOW =>
+                {
+                    Some(fingerprints)
+                }
+                _ => None,
+            })
+    }
+
     fn insert(&mut self, evidence: RunEvidence) {
         if self.evidence.len() >= MAX_EVIDENCE {
             self.evidence.remove(0);
@@ -129,11 +152,29 @@
         self.evidence.insert(index, evidence);
     }
 
-    /// Weight of the crashes less that of the complete answers. An answer excuses only crashes that
-    /// came before it.
-    fn weight(&self) -> usize {
-        let add = |weight: usize, evidence: &RunEvidence| match evidence.finding {
-            RunFinding::Crashed(_) => weight + CRASH_WEIGHT,
+    /// Fingerprints of a family that have `threshold` crashes of their own, which explains these.
+    fn explaining(&self, threshold: usize) -> BTreeSet<Fingerprint> {
+        let mut counts: BTreeMap<Fingerprint, usize> = BTreeMap::new();
+        for evidence in &self.evidence {
+            if let RunFinding::Crashed(_, fingerprints) = &evidence.finding {
+                for fingerprint in fingerprints {
+                    *counts.entry(*fingerprint).or_default() += 1;
+                }
+            }
+        }
+        counts.retain(|_, count| *count >= threshold);
+        counts.into_keys().collect()
+    }
+
+    /// Weight of the crashes that no single fingerprint explains, less that of the complete answers.
+    /// An answer excuses only crashes that came before it.
+    fn weight(&self, threshold: usize) -> usize {
+        let explaining = self.explaining(threshold);
+        let add = |weight: usize, evidence: &RunEvidence| match &evidence.finding {
+            RunFinding::Crashed(_, fingerprints) if !fingerprints.is_disjoint(&explaining) => {
+                weight
+            }
+            RunFinding::Crashed(..) => weight + CRASH_WEIGHT,
             RunFinding::Served => weight.saturating_sub(1),
         };
         self.evidence.iter().fold(0, add)
@@ -208,6 +249,7 @@
         self.record_run(
             &RunCrash {
                 report: report.clone(),
+                family: report.fingerprint,
                 run: String::new(),
                 parts: Vec::new(),
                 age: 0,
@@ -219,45 +261,70 @@
     /// Records the crash of a named run, unless it is known already, and returns the status of its
     /// fingerprint.
     pub fn record_run(&mut self, crash: &RunCrash, now: Millis) -> PoisonStatus {
+        self.record_crash(crash.report.fingerprint, None, crash, now)
+    }
+
+    /// Records the crash of a named run against its family. Crashes that a single request of the
+    /// family explains do not count against the others.
+    pub fn record_family_crash(&mut self, crash: &RunCrash, now: Millis) -> PoisonStatus {
+        let member = crash.report.fingerprint;
+        self.record_crash(crash.family, Some(member), crash, now)
+    }
+
+    fn record_crash(
+        &mut self,
+        key: Fingerprint,
+        member: Option<Fingerprint>,
+        crash: &RunCrash,
+        now: Millis,
+    ) -> PoisonStatus {
         self.expire(now);
         let RunCrash { report, run, .. } = crash;
         let at = evidence_time(crash.age, now);
-        let record = self.records.entry(report.fingerprint);
+        let record = self.records.entry(key);
         let record = record.or_insert_with(|| CrashRecord::new(now));
-        let is_same_crash = |known: &RunEvidence| match &known.finding {
-            RunFinding::Crashed(endpoint) => {
-                *endpoint == report.endpoint && at.abs_diff(known.at) < SAME_CRASH_WINDOW
-            }
-            RunFinding::Served => false,
-        };
-        if !record.has_run(run) && !record.evidence.iter().any(is_same_crash) {
+        if record.has_run(run) {
+            return self.status(key, now);
+        }
+        if let Some(fingerprints) = record.same_crash(&report.endpoint, at) {
+            fingerprints.extend(member);
+        } else {
             record.last = now;
             record.trial_until = 0;
             record.insert(RunEvidence {
-                finding: RunFinding::Crashed(report.endpoint.clone()),
+                finding: RunFinding::Crashed(report.endpoint.clone(), member.into_iter().collect()),
                 at,
                 run: run.clone(),
             });
         }
-        self.status(report.fingerprint, now)
+        self.status(key, now)
     }
 
     /// Records that an endpoint has answered a run completely. Returns whether that excuses a crash,
     /// so that other instances should hear of it.
     pub fn record_served(&mut self, served: &ServedRun, now: Millis) -> bool {
-        let Some(record) = self.records.get_mut(&served.fingerprint) else {
+        self.record_answer(served.fingerprint, served, now)
+    }
+
+    /// As [`Self::record_served`], for the family of the request.
+    pub fn record_family_served(&mut self, served: &ServedRun, now: Millis) -> bool {
+        self.record_answer(served.family, served, now)
+    }
+
+    fn record_answer(&mut self, key: Fingerprint, served: &ServedRun, now: Millis) -> bool {
+        let Some(record) = self.records.get_mut(&key) else {
             return false;
         };
         if record.has_run(&served.run) {
             return false;
         }
-        let before = record.weight();
+        let before = record.weight(self.threshold);
         record.insert(RunEvidence {
             finding: RunFinding::Served,
             at: evidence_time(served.age, now),
             run: served.run.clone(),
         });
-        let is_excuse = record.weight() < before;
+        let is_excuse = record.weight(self.threshold) < before;
         if is_excuse {
             record.trial_until = 0;
         }
@@ -273,7 +340,7 @@
         if self.is_expired(record, now) {
             return PoisonStatus::Clear;
         }
-        let weight = record.weight();
+        let weight = record.weight(self.threshold);
         if weight == 0 {
             return PoisonStatus::Clear;
         }
@@ -325,6 +392,7 @@
         if self.status(fingerprint, now) != PoisonStatus::Quarantined {
             let served = ServedRun {
                 fingerprint,
+                family: fingerprint,
                 run: String::new(),
                 age: 0,
             };
@@ -339,7 +407,7 @@
         }
         let known = self.crashes(fingerprint).max(self.threshold);
         let unknown_crash = || RunEvidence {
-            finding: RunFinding::Crashed(EndpointId::new("")),
+            finding: RunFinding::Crashed(EndpointId::new(""), BTreeSet::new()),
             at: evidence_time(0, now),
             run: String::new(),
         };
@@ -365,7 +433,7 @@
 
     /// Length of the quarantine that the last crash of a record began.
     fn quarantine_time(&self, record: &CrashRecord) -> Millis {
-        let excess = (record.weight() / CRASH_WEIGHT).saturating_sub(self.threshold);
+        let excess = (record.weight(self.threshold) / CRASH_WEIGHT).saturating_sub(self.threshold);
         let growth = QUARANTINE_GROWTH.saturating_pow(u32::try_from(excess).unwrap_or(u32::MAX));
         let longest = LONGEST_QUARANTINE.max(self.quarantine_time);
         self.quarantine_time.saturating_mul(growth).min(longest)
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -110,6 +110,7 @@
     let mut table = table();
     let crash = |run: &str| RunCrash {
         report: report("one"),
+        family: FINGERPRINT,
         run: run.to_owned(),
         parts: Vec::new(),
         age: 0,
@@ -179,6 +180,7 @@
                     table.record_run(
                         &RunCrash {
                             report: report(endpoint),
+                            family: FINGERPRINT,
                             run,
                             parts: Vec::new(),
                             age: *age,
@@ -190,6 +192,7 @@
                     table.record_served(
                         &ServedRun {
                             fingerprint: FINGERPRINT,
+                            family: FINGERPRINT,
                             run,
                             age: *age,
                         },
@@ -207,6 +210,7 @@
     let mut table = quarantined_at(0);
     let served = |run: &str| ServedRun {
         fingerprint: FINGERPRINT,
+        family: FINGERPRINT,
         run: run.to_owned(),
         age: 0,
     };
@@ -221,6 +225,69 @@
     assert!(!table.record_served(&served("last"), 10));
 }
 
+#[test]
+fn family_is_blamed_for_crashes_that_none_of_its_requests_explains() {
+    struct Case {
+        name: &'static str,
+        /// Endpoints that crashed, with the requests of the family that they ran.
+        crashes: &'static [(&'static str, &'static [u64])],
+        status: PoisonStatus,
+    }
+    let cases = [
+        Case {
+            name: "each time another request",
+            crashes: &[("one", &[1]), ("two", &[2]), ("three", &[3])],
+            status: PoisonStatus::Quarantined,
+        },
+        Case {
+            name: "two requests in turn",
+            crashes: &[("one", &[1]), ("two", &[2]), ("three", &[1])],
+            status: PoisonStatus::Quarantined,
+        },
+        Case {
+            name: "one request, alone",
+            crashes: &[("one", &[1]), ("two", &[1]), ("three", &[1])],
+            status: PoisonStatus::Clear,
+        },
+        Case {
+            name: "one request, with others beside it",
+            crashes: &[("one", &[2, 1]), ("two", &[1, 3]), ("three", &[4, 1])],
+            status: PoisonStatus::Clear,
+        },
+        Case {
+            name: "one request, and a crash that it does not explain",
+            crashes: &[
+                ("one", &[1]),
+                ("two", &[1]),
+                ("three", &[1]),
+                ("four", &[2]),
+            ],
+            status: PoisonStatus::Suspect,
+        },
+    ];
+    let now = 1_000;
+    for case in cases {
+        let mut table = table();
+        for (endpoint, requests) in case.crashes {
+            for request in *requests {
+                let report = CrashReport {
+                    fingerprint: Fingerprint(100 + request),
+                    endpoint: EndpointId::new(*endpoint),
+                };
+                let crash = RunCrash {
+                    report,
+                    family: FINGERPRINT,
+                    run: format!("{endpoint}-{request}"),
+                    parts: Vec::new(),
+                    age: 0,
+                };
+                table.record_family_crash(&crash, now);
+            }
+        }
+        assert_eq!(table.status(FINGERPRINT, now), case.status, "{}", case.name);
+    }
+}
+
 #[test]
 fn oldest_records_make_room() {
     let mut table = table();
--- a/crates/relay/src/core/crashes.rs
+++ b/crates/relay/src/core/crashes.rs
@@ -4,7 +4,7 @@
 use policy::ids::{EndpointId, Millis};
 use policy::outcome::{Refusal, RefusalReason, RetryReason};
 use policy::part_blame::{BlameChange, RunProgress};
-use policy::poison::{CrashReport, Fingerprint};
+use policy::poison::Fingerprint;
 use policy::prompt_part::parts_text;
 
 use super::RelayCore;
@@ -30,7 +30,7 @@
         let now = self.now();
         let crashes = self.dependencies.crashes.borrow();
         let parts = &request.head.shared_parts;
-        match crashes.quarantine_cause(request.fingerprints().exact, parts, now) {
+        match crashes.quarantine_cause(request.fingerprints(), parts, now) {
             Some(cause) => Err(Self::quarantine_refusal(&crashes, request, cause, now)),
             None => Ok(()),
         }
@@ -43,7 +43,7 @@
         let parts = &request.head.shared_parts;
         let may_try = |hash| self.placement().may_try(Fingerprint(hash));
         let mut crashes = self.dependencies.crashes.borrow_mut();
-        match crashes.admit(request.fingerprints().exact, parts, may_try, now) {
+        match crashes.admit(request.fingerprints(), parts, may_try, now) {
             Some(cause) => Err(Self::quarantine_refusal(&crashes, request, cause, now)),
             None => Ok(()),
         }
@@ -139,30 +139,27 @@
             reason,
             progress,
         } = failure;
-        let fingerprint = request.fingerprints().exact;
+        let fingerprints = request.fingerprints();
+        let fingerprint = fingerprints.exact;
         let now = self.now();
         let mut crashes = self.dependencies.crashes.borrow_mut();
-        let report = CrashReport {
-            fingerprint,
-            endpoint: endpoint.clone(),
-        };
         let is_lost = self.endpoint_view.borrow().is_lost(endpoint);
         let parts = &request.head.shared_parts;
         let has_written = progress.has_written(now);
         match outcome {
             _ if has_written => {}
             RunOutcome::Broken if reason == RetryReason::StreamClosed => {
-                crashes.run_broke(report, parts, now);
+                crashes.run_broke(fingerprints, endpoint, parts, now);
             }
-            RunOutcome::Silent if is_lost => crashes.run_broke(report, parts, now),
-            RunOutcome::Silent => crashes.run_fell_silent(report, parts, now),
+            RunOutcome::Silent if is_lost => crashes.run_broke(fingerprints, endpoint, parts, now),
+            RunOutcome::Silent => crashes.run_fell_silent(fingerprints, endpoint, parts, now),
             _ => {}
         }
         self.settle_blame(&mut crashes);
         spdlog::info!("run failed", kv: {
             request = request.head.request_id.as_str(),
             fingerprint = fingerprint.to_string().as_str(),
-            family = request.fingerprints().family.to_string().as_str(),
+            family = fingerprints.family.to_string().as_str(),
             endpoint = endpoint.as_str(),
             outcome:? = outcome,
             reason = reason.code(),
@@ -203,18 +200,18 @@
 
     /// Records that an endpoint has answered a request completely.
     pub(crate) fn run_served(&self, request: &RelayRequest) {
-        let fingerprint = request.fingerprints().exact;
+        let fingerprints = request.fingerprints();
         let parts = &request.head.shared_parts;
         let mut crashes = self.dependencies.crashes.borrow_mut();
         let now = self.now();
-        let is_excuse = crashes.run_served(fingerprint, parts, now);
+        let is_excuse = crashes.run_served(fingerprints, parts, now);
         self.settle_blame(&mut crashes);
         if is_excuse {
             spdlog::info!("crash excused by a whole answer", kv: {
                 request = request.head.request_id.as_str(),
-                fingerprint = fingerprint.to_string().as_str(),
-                crashes = crashes.crashes(fingerprint, now).0,
-                is_quarantined = crashes.quarantine_cause(fingerprint, parts, now).is_some(),
+                fingerprint = fingerprints.exact.to_string().as_str(),
+                crashes = crashes.crashes(fingerprints.exact, now).0,
+                is_quarantined = crashes.quarantine_cause(fingerprints, parts, now).is_some(),
             });
         }
     }
@@ -225,9 +222,9 @@
         cause: QuarantineCause,
         now: Millis,
     ) -> Refusal {
-        let (count, age) = crashes.crashes_behind(cause, request.fingerprints().exact, now);
+        let (count, age) = crashes.crashes_behind(cause, request.fingerprints(), now);
         let part = match cause {
-            QuarantineCause::Request => String::new(),
+            QuarantineCause::Request | QuarantineCause::Family => String::new(),
             QuarantineCause::Part(part) => part.to_string(),
         };
         spdlog::info!("run refused by quarantine", kv: {
@@ -235,6 +232,7 @@
             fingerprint = request.fingerprints().exact.to_string().as_str(),
             family = request.fingerprints().family.to_string().as_str(),
             part = part.as_str(),
+            is_family = cause == QuarantineCause::Family,
             crashes = count,
             age = age,
         });
--- a/crates/relay/src/crash_registry.rs
+++ b/crates/relay/src/crash_registry.rs
@@ -5,7 +5,9 @@
 
 use policy::ids::{EndpointId, Millis};
 use policy::part_blame::{BlameChange, PartTable};
-use policy::poison::{CrashReport, Fingerprint, PoisonStatus, PoisonTable, RunCrash, ServedRun};
+use policy::poison::{
+    CrashReport, Fingerprint, PoisonStatus, PoisonTable, RequestFingerprints, RunCrash, ServedRun,
+};
 use policy::prompt_part::PromptPart;
 
 /// Largest number of reports that wait to be shared; beyond it the oldest one is dropped.
@@ -37,6 +39,8 @@
 pub enum QuarantineCause {
     /// The request itself is quarantined.
     Request,
+    /// The requests that differ from it in their query only are, and it with them.
+    Family,
     /// A part of its prompt is.
     Part(PromptPart),
 }
@@ -52,6 +56,7 @@
 #[derive(Debug)]
 pub struct CrashRegistry {
     table: PoisonTable,
+    families: PoisonTable,
     parts: PartTable,
     silent_runs: VecDeque<SilentRun>,
     /// With the time of each.
@@ -62,12 +67,19 @@
 }
 
 impl CrashRegistry {
-    /// Creates an empty registry. `table` decides on quarantines of requests and `parts` on those of
-    /// parts of prompts; `instance` is unique to this incarnation of the instance.
+    /// Creates an empty registry. `table` decides on quarantines of requests, `families` on those of
+    /// requests that differ in their query only, and `parts` on those of parts of prompts;
+    /// `instance` is unique to this incarnation of the instance.
     #[must_use]
-    pub fn new(table: PoisonTable, parts: PartTable, instance: &str) -> Self {
+    pub fn new(
+        table: PoisonTable,
+        families: PoisonTable,
+        parts: PartTable,
+        instance: &str,
+    ) -> Self {
         Self {
             table,
+            families,
             parts,
             silent_runs: VecDeque::new(),
             unshared: VecDeque::new(),
@@ -81,16 +93,20 @@
     /// probation.
     pub fn admit(
         &mut self,
-        fingerprint: Fingerprint,
+        request: RequestFingerprints,
         parts: &[PromptPart],
         may_try: impl Fn(u64) -> bool,
         now: Millis,
     ) -> Option<QuarantineCause> {
-        if let Some(part) = self.parts.quarantined(parts, now) {
-            return Some(QuarantineCause::Part(part));
+        let cause = self.quarantine_cause(request, parts, now);
+        if cause.is_some() {
+            return cause;
+        }
+        let RequestFingerprints { exact, family } = request;
+        if self.families.admit(family, may_try(family.0), now) == PoisonStatus::Quarantined {
+            return Some(QuarantineCause::Family);
         }
-        let status = self.table.admit(fingerprint, may_try(fingerprint.0), now);
-        if status == PoisonStatus::Quarantined {
+        if self.table.admit(exact, may_try(exact.0), now) == PoisonStatus::Quarantined {
             return Some(QuarantineCause::Request);
         }
         let refused = self.parts.admit(parts, |part| may_try(part.0), now);
@@ -101,15 +117,18 @@
     #[must_use]
     pub fn quarantine_cause(
         &self,
-        fingerprint: Fingerprint,
+        request: RequestFingerprints,
         parts: &[PromptPart],
         now: Millis,
     ) -> Option<QuarantineCause> {
         if let Some(part) = self.parts.quarantined(parts, now) {
             return Some(QuarantineCause::Part(part));
         }
-        let status = self.table.status(fingerprint, now);
-        (status == PoisonStatus::Quarantined).then_some(QuarantineCause::Request)
+        if self.table.status(request.exact, now) == PoisonStatus::Quarantined {
+            return Some(QuarantineCause::Request);
+        }
+        let status = self.families.status(request.family, now);
+        (status == PoisonStatus::Quarantined).then_some(QuarantineCause::Family)
     }
 
     /// Number of crashes behind a quarantine, and time since the last one in milliseconds.
@@ -117,11 +136,15 @@
     pub fn crashes_behind(
         &self,
         cause: QuarantineCause,
-        fingerprint: Fingerprint,
+        request: RequestFingerprints,
         now: Millis,
     ) -> (usize, Millis) {
         match cause {
-            QuarantineCause::Request => self.crashes(fingerprint, now),
+            QuarantineCause::Request => self.crashes(request.exact, now),
+            QuarantineCause::Family => {
+                let age = self.families.age(request.family, now);
+                (self.families.crashes(request.family), age)
+            }
             QuarantineCause::Part(part) => self.parts.crash_count(part, now),
         }
     }
@@ -147,17 +170,29 @@
         (self.table.crashes(fingerprint), age)
     }
 
-    /// Records that an endpoint closed the connection of a run before the answer was complete. The
+    /// Records that `endpoint` closed the connection of a run before the answer was complete. The
     /// shared parts of its prompt are `parts`.
-    pub fn run_broke(&mut self, report: CrashReport, parts: &[PromptPart], now: Millis) {
-        let crash = self.name_run(report, parts);
+    pub fn run_broke(
+        &mut self,
+        request: RequestFingerprints,
+        endpoint: &EndpointId,
+        parts: &[PromptPart],
+        now: Millis,
+    ) {
+        let crash = self.name_run(request, endpoint, parts);
         self.record_own(crash, now);
     }
 
     /// Records that a run ended without any sign of its endpoint, which counts as a crash once the
     /// endpoint is known to be lost.
-    pub fn run_fell_silent(&mut self, report: CrashReport, parts: &[PromptPart], now: Millis) {
-        let crash = self.name_run(report, parts);
+    pub fn run_fell_silent(
+        &mut self,
+        request: RequestFingerprints,
+        endpoint: &EndpointId,
+        parts: &[PromptPart],
+        now: Millis,
+    ) {
+        let crash = self.name_run(request, endpoint, parts);
         if self.silent_runs.len() >= MAX_SILENT_RUNS {
             self.silent_runs.pop_front();
         }
@@ -191,17 +226,18 @@
     /// crash.
     pub fn run_served(
         &mut self,
-        fingerprint: Fingerprint,
+        request: RequestFingerprints,
         parts: &[PromptPart],
         now: Millis,
     ) -> bool {
         self.run_written(parts, now);
         let served = ServedRun {
-            fingerprint,
+            fingerprint: request.exact,
+            family: request.family,
             run: self.next_run_name(),
             age: 0,
         };
-        let is_excuse = self.table.record_served(&served, now);
+        let is_excuse = self.record_served(&served, now);
         if is_excuse {
             self.share(CrashNotice::Served(served), now);
         }
@@ -222,13 +258,10 @@
             CrashNotice::Crashed(crash) => {
                 let fingerprint = crash.report.fingerprint;
                 let known = self.table.crashes(fingerprint);
-                self.table.record_run(crash, now);
-                let CrashReport { endpoint, .. } = &crash.report;
-                self.parts
-                    .record_crash(endpoint, &crash.run, &crash.parts, crash.age, now);
+                self.record_crash(crash, now);
                 self.table.crashes(fingerprint) > known
             }
-            CrashNotice::Served(served) => self.table.record_served(served, now),
+            CrashNotice::Served(served) => self.record_served(served, now),
             CrashNotice::Written(parts) => {
                 self.parts.record_written(parts, now);
                 true
@@ -272,20 +305,40 @@
         format!("{}/{}", self.instance, self.last_run)
     }
 
-    fn name_run(&mut self, report: CrashReport, parts: &[PromptPart]) -> RunCrash {
+    fn name_run(
+        &mut self,
+        request: RequestFingerprints,
+        endpoint: &EndpointId,
+        parts: &[PromptPart],
+    ) -> RunCrash {
         RunCrash {
-            report,
+            report: CrashReport {
+                fingerprint: request.exact,
+                endpoint: endpoint.clone(),
+            },
+            family: request.family,
             run: self.next_run_name(),
             parts: parts.to_vec(),
             age: 0,
         }
     }
 
-    fn record_own(&mut self, crash: RunCrash, now: Millis) {
-        self.table.record_run(&crash, now);
+    fn record_crash(&mut self, crash: &RunCrash, now: Millis) {
+        self.table.record_run(crash, now);
+        self.families.record_family_crash(crash, now);
         let endpoint = &crash.report.endpoint;
         self.parts
             .record_crash(endpoint, &crash.run, &crash.parts, crash.age, now);
+    }
+
+    fn record_served(&mut self, served: &ServedRun, now: Millis) -> bool {
+        let excuses_request = self.table.record_served(served, now);
+        let excuses_family = self.families.record_family_served(served, now);
+        excuses_request || excuses_family
+    }
+
+    fn record_own(&mut self, crash: RunCrash, now: Millis) {
+        self.record_crash(&crash, now);
         self.share(CrashNotice::Crashed(crash), now);
     }
 
