--- a/crates/relay/src/core/endpoints.rs
+++ b/crates/relay/src/core/endpoints.rs
@@ -159,17 +159,6 @@
         }
     }
 
-    /// Endpoints of a plain service or of engines to which this instance sends nothing now, because
-    /// they said so.
-    pub(crate) fn held_endpoints(&self) -> Vec<EndpointId> {
-        self.backoffs.borrow().held(self.now())
-    }
-
-    /// Whether this instance sends nothing to the endpoint now.
-    pub(crate) fn is_held(&self, endpoint: &EndpointId) -> bool {
-        self.backoffs.borrow().holds(endpoint, self.now())
-    }
-
     /// Time until the first endpoint of `pool` takes requests again, if all that are left are held.
     pub(crate) fn backoff_wait(&self, pool: &PoolId) -> Option<Millis> {
         let listed = self.endpoint_view.borrow().in_pool(pool);
@@ -177,20 +166,6 @@
             let info = listed.iter().find(|info| info.target.endpoint == *endpoint);
             info.is_some_and(|info| info.state == EndpointState::Ready)
         };
-        self.backoffs.borrow().shortest_wait(is_usable, self.now())
-    }
-
-    /// Records that an endpoint refused a request of this instance and wants none for a time.
-    pub(crate) fn heard_backoff(&self, endpoint: &EndpointId, retry_after: Millis) {
-        let now = self.now();
-        let held = self
-            .backoffs
-            .borrow_mut()
-            .record(endpoint, retry_after, now);
-        spdlog::info!("endpoint wants no requests for a time", kv: {
-            endpoint = endpoint.as_str(),
-            retry_after = retry_after,
-            held = held,
-        });
+        self.backoffs().shortest_wait(is_usable)
     }
 }
--- a/crates/relay/src/core/mod.rs
+++ b/crates/relay/src/core/mod.rs
@@ -9,7 +9,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use policy::backoff::BackoffTable;
 use policy::balance::CallBalancer;
 use policy::catalog::ServiceCatalog;
 use policy::dispatch::placement::{EndpointTarget, RunOutcome};
@@ -27,6 +26,7 @@
 use crate::counters::RelayCounters;
 use crate::crash_registry::CrashRegistry;
 use crate::dialect::WireDialect;
+use crate::endpoint_backoffs::EndpointBackoffs;
 use crate::endpoint_view::EndpointView;
 use crate::placement::{DispatcherDriver, PlacementClient};
 use crate::request::RelayRequest;
@@ -66,6 +66,8 @@
     pub dialect: Rc<dyn WireDialect>,
     /// Connection pool for endpoints.
     pub connections: Rc<EndpointConnections>,
+    /// Endpoints that want no requests from this instance for a time.
+    pub backoffs: Rc<EndpointBackoffs>,
     /// Runs this instance's own dispatcher.
     pub driver: Rc<DispatcherDriver>,
     /// Sends the placement requests of this instance to a dispatcher.
@@ -94,8 +96,6 @@
     phase: Cell<RelayPhase>,
     /// Limits that endpoints have named in answers to this instance.
     heard_limits: RefCell<RateTable>,
-    /// Endpoints that want no requests from this instance for a time.
-    backoffs: RefCell<BackoffTable>,
     last_request_number: Cell<u64>,
     notices_added: Notify,
     random: RefCell<SmallRng>,
@@ -115,7 +115,6 @@
             retries: RefCell::new(BudgetTable::new(CALL_RETRY_LIMITS)),
             phase: Cell::new(RelayPhase::Starting),
             heard_limits: RefCell::new(RateTable::new()),
-            backoffs: RefCell::new(BackoffTable::new()),
             last_request_number: Cell::new(0),
             notices_added: Notify::new(),
             random: RefCell::new(SmallRng::from_os_rng()),
@@ -235,6 +234,11 @@
         &self.dependencies.connections
     }
 
+    /// Endpoints that want no requests from this instance for a time.
+    pub(crate) fn backoffs(&self) -> &EndpointBackoffs {
+        &self.dependencies.backoffs
+    }
+
     pub(crate) fn placement(&self) -> &dyn PlacementClient {
         self.dependencies.placement.as_ref()
     }
@@ -267,7 +271,7 @@
         excluded: &[EndpointId],
     ) -> Option<EndpointTarget> {
         let draw = self.draw();
-        let excluded = [excluded, &self.held_endpoints()].concat();
+        let excluded = [excluded, &self.backoffs().held()].concat();
         let mut balancers = self.balancers.borrow_mut();
         balancers
             .get_mut(service)?
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod counters;
 mod crash_registry;
 mod dialect;
+mod endpoint_backoffs;
 mod endpoint_connector;
 mod endpoint_view;
 mod events;
@@ -36,6 +37,7 @@
     AnswerHead, AnswerSignature, CallerHead, ForwardHead, ForwardHelper, LeavingStatement,
     PromptSize, RunStatement, WireDialect,
 };
+pub use crate::endpoint_backoffs::EndpointBackoffs;
 pub use crate::endpoint_connector::{ConnectError, EndpointConnector, TunnelDirectory};
 pub use crate::endpoint_view::{EndpointView, ViewChange};
 pub use crate::events::{EventSplitter, EventTooLarge, WholeEvent, is_after};
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -320,7 +320,7 @@
         if answer.status == StatusCode::SERVICE_UNAVAILABLE
             && let Some(retry_after) = head.retry_after
         {
-            core.heard_backoff(&guard.target.endpoint, retry_after);
+            core.backoffs().record(&guard.target.endpoint, retry_after);
         }
         if head.leaving == LeavingStatement::Leaving {
             core.heard_leaving(&guard.target.endpoint);
--- a/crates/relay/src/stream/placing.rs
+++ b/crates/relay/src/stream/placing.rs
@@ -25,7 +25,7 @@
         let helpers = grant.helpers.iter().map(|helper| &helper.target);
         std::iter::once(&grant.host)
             .chain(helpers)
-            .find(|target| self.core.is_held(&target.endpoint))
+            .find(|target| self.core.backoffs().holds(&target.endpoint))
     }
 
     /// An engine of the placement that is leaving or was removed; the host first.
@@ -123,7 +123,7 @@
             pause_aim: route.pause_aim,
             time_left: left,
             retry: self.retry,
-            excluded: [self.excluded.as_slice(), &self.core.held_endpoints()].concat(),
+            excluded: [self.excluded.as_slice(), &self.core.backoffs().held()].concat(),
             caller_domain: None,
             fingerprint: request.fingerprints().exact,
         }
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -235,7 +235,9 @@
             if status == StatusCode::SERVICE_UNAVAILABLE
                 && let Some(retry_after) = head.retry_after
             {
-                self.core.heard_backoff(&grant.host.endpoint, retry_after);
+                self.core
+                    .backoffs()
+                    .record(&grant.host.endpoint, retry_after);
             }
             if head.leaving == LeavingStatement::Leaving {
                 self.core.heard_leaving(&grant.host.endpoint);
