Read an endpoint's retry-after whichever request its refusal names

What endpoints saw: a machine that they had refused with a retry-after sent on, if the refusal named another request.

Cause: the header was read by the request that waited, after its id was checked. An answer without the id or with that of an earlier request still comes from this endpoint to this instance. Orders for memory did not read it at all.

Change: the connection reads the head of every answer for it, before anyone validates it: calls, streams, orders for memory.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -21,11 +21,13 @@
 use ntex::http::StatusCode;
 use policy::catalog::RepeatRule;
 use policy::dispatch::placement::{EndpointTarget, RunOutcome};
+use policy::ids::EndpointId;
 use policy::outcome::RetryReason;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use transport::ExchangeError;
 
+use crate::endpoint_backoffs::EndpointBackoffs;
 use crate::endpoint_connector::{ConnectError, EndpointConnector, OpenConnection, TunnelUse};
 
 /// Longest time for which an idle connection is kept.
@@ -79,6 +81,7 @@
 /// idle connection is never mistaken for a lost answer.
 pub struct EndpointConnections {
     connector: Rc<EndpointConnector>,
+    backoffs: Rc<EndpointBackoffs>,
     /// Bytes of the answers that are being read.
     buffered: Rc<Cell<usize>>,
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
@@ -115,7 +118,9 @@
 /// A connection in use. Dropping it closes the connection, which tells the endpoint that the answer
 /// is no longer needed.
 struct ConnectionGuard {
+    endpoint: EndpointId,
     address: SocketAddr,
+    backoffs: Rc<EndpointBackoffs>,
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
@@ -261,11 +266,12 @@
 }
 
 impl EndpointConnections {
-    /// Creates an empty pool whose connections `connector` opens.
+    /// Creates an empty pool whose connections `connector` opens. `backoffs` hears of all refusals.
     #[must_use]
-    pub fn new(connector: Rc<EndpointConnector>) -> Self {
+    pub fn new(connector: Rc<EndpointConnector>, backoffs: Rc<EndpointBackoffs>) -> Self {
         Self {
             connector,
+            backoffs,
             buffered: Rc::default(),
             idle: Rc::default(),
         }
@@ -285,7 +291,7 @@
     pub async fn send(&self, call: ForwardRequest<'_>) -> Result<EndpointAnswer, SendError> {
         let mut request = build_request(&call)?;
         if call.repeat == RepeatRule::Repeatable {
-            while let Some(guard) = self.take_idle(call.target.address) {
+            while let Some(guard) = self.take_idle(call.target) {
                 match exchange(guard, request).await {
                     Ok(answer) => return Ok(answer),
                     // The pooled connection was already closed, and nothing was sent.
@@ -299,7 +305,8 @@
         answered.map_err(|(error, _)| error.into())
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<ConnectionGuard> {
+    fn take_idle(&self, target: &EndpointTarget) -> Option<ConnectionGuard> {
+        let address = target.address;
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         if self.connector.is_cut_off() {
@@ -318,7 +325,9 @@
                 continue;
             }
             return Some(ConnectionGuard {
+                endpoint: target.endpoint.clone(),
                 address,
+                backoffs: Rc::clone(&self.backoffs),
                 sender: Some(connection.sender),
                 task: connection.task,
                 idle: Rc::clone(&self.idle),
@@ -358,7 +367,9 @@
             let _ = connection.await;
         });
         Ok(ConnectionGuard {
+            endpoint: target.endpoint.clone(),
             address: target.address,
+            backoffs: Rc::clone(&self.backoffs),
             sender: Some(sender),
             task: task.abort_handle(),
             idle: Rc::clone(&self.idle),
@@ -406,10 +417,12 @@
             headers.append(name, value);
         }
     }
+    let status = StatusCode::from_u16(head.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
+    guard.backoffs.read(&guard.endpoint, status, &headers);
     let is_tunnelled = guard.tunnel.is_some();
     EndpointAnswer {
         is_tunnelled,
-        status: StatusCode::from_u16(head.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY),
+        status,
         headers,
         body: AnswerBody {
             incoming,
--- a/crates/relay/src/endpoint_backoffs.rs
+++ b/crates/relay/src/endpoint_backoffs.rs
@@ -1,24 +1,29 @@
 //! Endpoints that want no requests from this instance for a time, shared by all that sends to them.
 
 use std::cell::RefCell;
+use std::rc::Rc;
 
+use ntex::http::{HeaderMap, StatusCode};
 use policy::backoff::BackoffTable;
 use policy::ids::{EndpointId, Millis};
 
 use crate::clock::BootClock;
+use crate::dialect::WireDialect;
 
 /// The retry-afters that endpoints have stated to this instance.
 pub struct EndpointBackoffs {
     clock: BootClock,
+    dialect: Rc<dyn WireDialect>,
     table: RefCell<BackoffTable>,
 }
 
 impl EndpointBackoffs {
-    /// Creates an empty set; `clock` is that of the relay.
+    /// Creates an empty set; `clock` is that of the relay, and `dialect` reads answers.
     #[must_use]
-    pub fn new(clock: BootClock) -> Self {
+    pub fn new(clock: BootClock, dialect: Rc<dyn WireDialect>) -> Self {
         Self {
             clock,
+            dialect,
             table: RefCell::new(BackoffTable::new()),
         }
     }
@@ -40,8 +45,18 @@
         table.shortest_wait(is_usable, self.clock.now())
     }
 
-    /// Records that an endpoint refused a request of this instance and wants none for a time.
-    pub(crate) fn record(&self, endpoint: &EndpointId, retry_after: Millis) {
+    /// Reads the head of an answer of `endpoint`, whichever request it answers: a refusal may state
+    /// a time for which the endpoint wants no requests.
+    pub(crate) fn read(&self, endpoint: &EndpointId, status: StatusCode, headers: &HeaderMap) {
+        if status != StatusCode::SERVICE_UNAVAILABLE {
+            return;
+        }
+        if let Some(retry_after) = self.dialect.read_answer(headers).retry_after {
+            self.record(endpoint, retry_after);
+        }
+    }
+
+    fn record(&self, endpoint: &EndpointId, retry_after: Millis) {
         let now = self.clock.now();
         let held = self.table.borrow_mut().record(endpoint, retry_after, now);
         spdlog::info!("endpoint wants no requests for a time", kv: {
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -317,11 +317,6 @@
     if matches_request && answer.status != StatusCode::MISDIRECTED_REQUEST {
         let sent_at = guard.sent_at.get().unwrap_or(0);
         core.heard_limit(&guard.target.endpoint, head.rate_limit, sent_at);
-        if answer.status == StatusCode::SERVICE_UNAVAILABLE
-            && let Some(retry_after) = head.retry_after
-        {
-            core.backoffs().record(&guard.target.endpoint, retry_after);
-        }
         if head.leaving == LeavingStatement::Leaving {
             core.heard_leaving(&guard.target.endpoint);
         }
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -232,13 +232,6 @@
         if matches_request && status != StatusCode::MISDIRECTED_REQUEST {
             self.core
                 .heard_limit(&grant.host.endpoint, head.rate_limit, sent_at);
-            if status == StatusCode::SERVICE_UNAVAILABLE
-                && let Some(retry_after) = head.retry_after
-            {
-                self.core
-                    .backoffs()
-                    .record(&grant.host.endpoint, retry_after);
-            }
             if head.leaving == LeavingStatement::Leaving {
                 self.core.heard_leaving(&grant.host.endpoint);
             }
