Hear an endpoint's refusal although its caller has left

What endpoints saw: with callers that leave before a refusal arrives, a machine that they had refused with a retry-after sent on.

Cause: a request whose caller leaves, or that is given up as silent, is dropped with its connection, and the head of the answer with it.

Ruled out: to keep the connection until its answer is complete, since an endpoint is to stop the run of a caller that has left within half a second.

Change: a head that is on its way is awaited for 250 ms more, then the connection is closed as before.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -8,10 +8,14 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full};
@@ -47,6 +51,10 @@
 /// that are not small are given up: a part of the memory of a small instance.
 const MAX_BUFFERED_BYTES: usize = 16 * 1_024 * 1_024;
 
+/// Time for which the head of an answer is still awaited that nobody waits for any more: a refusal is
+/// written at once, and an endpoint is to stop a run within half a second after its caller has left.
+const ABANDONED_HEAD_TIME: Duration = Duration::from_millis(250);
+
 /// Header in which an endpoint states how long it keeps idle connections.
 const KEEP_ALIVE: &str = "keep-alive";
 
@@ -382,25 +390,65 @@
 
 type UnsentRequest = Option<Box<Request<Full<Bytes>>>>;
 
-async fn exchange(
-    mut guard: ConnectionGuard,
-    request: Request<Full<Bytes>>,
-) -> Result<EndpointAnswer, (ExchangeError, UnsentRequest)> {
+async fn exchange(mut guard: ConnectionGuard, request: Request<Full<Bytes>>) -> HeadResult {
     let Some(sender) = guard.sender.as_mut() else {
         return Err((ExchangeError::NotSent, Some(Box::new(request))));
     };
-    match sender.try_send_request(request).await {
-        Ok(response) => Ok(read_head(guard, response)),
-        Err(mut error) => {
-            if let Some(unsent) = error.take_message() {
-                return Err((ExchangeError::NotSent, Some(Box::new(unsent))));
+    let response = sender.try_send_request(request);
+    let head = async move {
+        match response.await {
+            Ok(response) => Ok(read_head(guard, response)),
+            Err(mut error) => {
+                if let Some(unsent) = error.take_message() {
+                    return Err((ExchangeError::NotSent, Some(Box::new(unsent))));
+                }
+                let cause = if error.error().is_parse() {
+                    ExchangeError::Unreadable
+                } else {
+                    ExchangeError::Lost
+                };
+                Err((cause, None))
             }
-            let cause = if error.error().is_parse() {
-                ExchangeError::Unreadable
-            } else {
-                ExchangeError::Lost
-            };
-            Err((cause, None))
+        }
+    };
+    AwaitedHead::new(head.boxed_local()).await
+}
+
+type HeadResult = Result<EndpointAnswer, (ExchangeError, UnsentRequest)>;
+
+/// The head of an answer that is on its way. If this is dropped before, the head is awaited for a
+/// little longer, since the endpoint may be refusing the request for a time.
+struct AwaitedHead {
+    /// `None` once the head has arrived.
+    head: Option<LocalBoxFuture<'static, HeadResult>>,
+}
+
+impl AwaitedHead {
+    fn new(head: LocalBoxFuture<'static, HeadResult>) -> Self {
+        Self { head: Some(head) }
+    }
+}
+
+impl Future for AwaitedHead {
+    type Output = HeadResult;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Self::Output> {
+        let Some(head) = &mut self.head else {
+            return Poll::Pending;
+        };
+        let result = ready!(head.poll_unpin(context));
+        self.head = None;
+        Poll::Ready(result)
+    }
+}
+
+impl Drop for AwaitedHead {
+    fn drop(&mut self) {
+        if let Some(head) = self.head.take() {
+            tokio::task::spawn_local(async move {
+                // The connection reads what the endpoint says of itself; there is no one to answer.
+                let _ = tokio::time::timeout(ABANDONED_HEAD_TIME, head).await;
+            });
         }
     }
 }
