Ask for an endpoint's retry-after again before a request is sent

What endpoints saw: requests that were picked before a refusal was heard were sent after it.

Cause: the table was asked when an endpoint was picked; a permit, memory and the connection are waited for between that and the send. A permit may take half a second if the steward falls silent.

Ruled out: to hold orders for memory too; a run that the endpoint has accepted would lose its memory, and memory that is not released is lost to others.

Change: the connection pool asks the table before each use of a connection, kept or new. A request that is held back counts as not sent, is logged, and goes elsewhere or is refused with the shortest time.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -73,6 +73,17 @@
     pub body: Bytes,
     /// Whether the request may run more than once.
     pub repeat: RepeatRule,
+    /// Whether the request waits for a time that the endpoint has stated.
+    pub backoff: BackoffRule,
+}
+
+/// Whether a request is held back while its endpoint wants none.
+#[derives::tag]
+pub enum BackoffRule {
+    /// It is held back.
+    Observed,
+    /// It is sent regardless: it belongs to a run that the endpoint has accepted.
+    Ignored,
 }
 
 /// A pooled connection.
@@ -177,6 +188,8 @@
 pub enum SendError {
     /// This instance has no path to the endpoint, and nothing was sent.
     NoPath,
+    /// The endpoint wants no requests from this instance now, and nothing was sent.
+    Held,
     /// The exchange failed.
     Exchange(ExchangeError),
 }
@@ -297,9 +310,11 @@
     ///
     /// The error states whether any bytes may have been sent.
     pub async fn send(&self, call: ForwardRequest<'_>) -> Result<EndpointAnswer, SendError> {
+        self.check_held(&call)?;
         let mut request = build_request(&call)?;
         if call.repeat == RepeatRule::Repeatable {
             while let Some(guard) = self.take_idle(call.target) {
+                self.check_held(&call)?;
                 match exchange(guard, request).await {
                     Ok(answer) => return Ok(answer),
                     // The pooled connection was already closed, and nothing was sent.
@@ -309,10 +324,24 @@
             }
         }
         let guard = self.connect(call.target).await?;
+        // The endpoint may have refused another request while this one waited for its connection.
+        self.check_held(&call)?;
         let answered = exchange(guard, request).await;
         answered.map_err(|(error, _)| error.into())
     }
 
+    fn check_held(&self, call: &ForwardRequest<'_>) -> Result<(), SendError> {
+        let endpoint = &call.target.endpoint;
+        if call.backoff == BackoffRule::Ignored || !self.backoffs.holds(endpoint) {
+            return Ok(());
+        }
+        spdlog::info!("request held back", kv: {
+            endpoint = endpoint.as_str(),
+            path = call.path_and_query,
+        });
+        Err(SendError::Held)
+    }
+
     fn take_idle(&self, target: &EndpointTarget) -> Option<ConnectionGuard> {
         let address = target.address;
         let now = Instant::now();
@@ -527,6 +556,8 @@
 pub fn exchange_outcome(error: SendError) -> (RunOutcome, RetryReason) {
     let error = match error {
         SendError::NoPath => return (RunOutcome::NoPath, RetryReason::ConnectFailed),
+        // As with a lack of paths, this says nothing new about the endpoint.
+        SendError::Held => return (RunOutcome::NoPath, RetryReason::EndpointRefused),
         SendError::Exchange(error) => error,
     };
     match error {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,7 +29,7 @@
 mod tunnel_host;
 
 pub use crate::answer::{RelayFailure, WholeAnswer};
-pub use crate::connections::{EndpointConnections, ForwardRequest, SendError};
+pub use crate::connections::{BackoffRule, EndpointConnections, ForwardRequest, SendError};
 pub use crate::core::{RelayCore, RelayDependencies, RelayPhase};
 pub use crate::counters::RelayCounters;
 pub use crate::crash_registry::{CrashNotice, CrashRegistry, QuarantineCause};
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -14,7 +14,7 @@
 use transport::ExchangeError;
 
 use crate::answer::{RelayFailure, WholeAnswer, strip_connection_headers};
-use crate::connections::{ForwardRequest, SendError, exchange_outcome};
+use crate::connections::{BackoffRule, ForwardRequest, SendError, exchange_outcome};
 use crate::core::{RelayCore, RunFailure};
 use crate::dialect::{AnswerSignature, ForwardHead, LeavingStatement, RunStatement};
 use crate::request::RelayRequest;
@@ -272,6 +272,7 @@
         headers: request.forward_headers(core.dialect(), &head),
         body: request.body.clone(),
         repeat: route.repeat,
+        backoff: BackoffRule::Observed,
     };
     let endpoints = &request.trace.endpoints;
     endpoints.borrow_mut().push(guard.target.endpoint.clone());
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -15,7 +15,9 @@
 use super::run_guard::RunGuard;
 use super::{StreamHead, StreamRun, StreamSession};
 use crate::answer::{WholeAnswer, strip_connection_headers};
-use crate::connections::{AnswerBody, EndpointAnswer, ForwardRequest, exchange_outcome};
+use crate::connections::{
+    AnswerBody, BackoffRule, EndpointAnswer, ForwardRequest, exchange_outcome,
+};
 use crate::core::RunFailure;
 use crate::dialect::{AnswerSignature, ForwardHead, ForwardHelper, LeavingStatement, RunStatement};
 use crate::reservation::MemoryReservation;
@@ -209,6 +211,7 @@
             headers: request.forward_headers(self.core.dialect(), &head),
             body: request.body.clone(),
             repeat: request.admitted.route.repeat,
+            backoff: BackoffRule::Observed,
         };
         let sent = self.core.connections().send(call).await;
         sent.map_err(|error| {
