Keep an endpoint's retry-after for requests that come through a tunnel

What endpoints saw: a machine that they had refused with a retry-after sent on for instances that are cut off.

Cause: an endpoint counts requests by the machine from which they reach it. The host of a tunnel did not ask its table, and did not hear the refusals that it carries; each instance that is cut off had to meet a refusal of its own through it.

Ruled out: that the host reads what it carries (the platform's words would have to be known to the tunnel); that the instance keeps such a time for itself alone (others go on through the same host).

Change: the instance that reads the refusal tells the host on its port for tunnels; a host that is held says so and the next one is asked. If all say so, the instance has no path, which is no evidence against the endpoint. An old host opens a connection for the message and closes it; an old instance takes the new answer for none and asks the next. Old and new were not run together for this commit.

--- a/crates/peer/src/tunnel_link.rs
+++ b/crates/peer/src/tunnel_link.rs
@@ -8,13 +8,15 @@
 use bytes::Bytes;
 use futures::stream::{SplitSink, SplitStream, unfold};
 use futures::{SinkExt, Stream, StreamExt};
-use policy::ids::EndpointId;
+use policy::ids::{EndpointId, Millis};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio_util::io::{CopyToBytes, SinkWriter, StreamReader};
 
-use crate::tunnel_message::{TunnelAnswer, TunnelRefusal, TunnelRequest, broken_off, frame_codec};
+use crate::tunnel_message::{
+    TunnelAnswer, TunnelCall, TunnelRefusal, TunnelRequest, broken_off, frame_codec,
+};
 
 type TunnelFrames = Framed<TcpStream, LengthDelimitedCodec>;
 
@@ -57,15 +59,37 @@
     ))
 }
 
-async fn request_tunnel(
+/// Tells the instance at `address` that `endpoint` has refused a request that came through a tunnel
+/// of it, and wants none from it for `retry_after` milliseconds.
+///
+/// # Errors
+///
+/// If the message was not sent within `time_limit`. Whether it arrives is not known.
+pub async fn report_refusal(
     address: SocketAddr,
     endpoint: &EndpointId,
-) -> io::Result<(TunnelFrames, TunnelAnswer)> {
+    retry_after: Millis,
+    time_limit: Duration,
+) -> io::Result<()> {
+    let call = TunnelCall::Refused(endpoint.clone(), retry_after);
+    timeout(time_limit, send_call(address, call)).await??;
+    Ok(())
+}
+
+async fn send_call(address: SocketAddr, call: TunnelCall) -> io::Result<TunnelFrames> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let mut frames = Framed::new(stream, frame_codec());
-    let request = serde_json::to_vec(&TunnelRequest::from(endpoint))?;
+    let request = serde_json::to_vec(&TunnelRequest::from(call))?;
     frames.send(Bytes::from(request)).await?;
+    Ok(frames)
+}
+
+async fn request_tunnel(
+    address: SocketAddr,
+    endpoint: &EndpointId,
+) -> io::Result<(TunnelFrames, TunnelAnswer)> {
+    let mut frames = send_call(address, TunnelCall::Open(endpoint.clone())).await?;
     let answer = frames.next().await.ok_or_else(broken_off)??;
     Ok((frames, serde_json::from_slice(&answer)?))
 }
--- a/crates/peer/src/tunnel_message.rs
+++ b/crates/peer/src/tunnel_message.rs
@@ -6,7 +6,7 @@
 
 use std::io;
 
-use policy::ids::EndpointId;
+use policy::ids::{EndpointId, Millis};
 use tokio_util::codec::LengthDelimitedCodec;
 
 /// Largest frame, in bytes.
@@ -19,6 +19,8 @@
     UnknownEndpoint,
     /// The endpoint cannot be reached; the instance reaches others.
     EndpointUnreachable,
+    /// The endpoint wants no requests from the instance now.
+    EndpointHeld,
     /// The instance reaches no endpoint itself, is stopping, or has too many tunnels.
     Unavailable,
 }
@@ -26,30 +28,52 @@
 /// First message to the instance that is asked for a tunnel.
 #[derives::wire]
 pub(crate) struct TunnelRequest {
-    pub(crate) endpoint: String,
+    endpoint: String,
+    /// `None` if a tunnel is to be opened. Otherwise the endpoint has refused a request that came
+    /// through a tunnel, and wants none from the host of the tunnel for this time, in milliseconds.
+    #[serde(default)]
+    retry_after: Option<Millis>,
 }
 
-impl From<&EndpointId> for TunnelRequest {
-    fn from(endpoint: &EndpointId) -> Self {
+/// First message to an instance on its port for tunnels.
+pub(crate) enum TunnelCall {
+    /// Opens a tunnel to the endpoint.
+    Open(EndpointId),
+    /// The endpoint wants no requests from this instance for a time, in milliseconds.
+    Refused(EndpointId, Millis),
+}
+
+impl From<TunnelCall> for TunnelRequest {
+    fn from(call: TunnelCall) -> Self {
+        let (endpoint, retry_after) = match call {
+            TunnelCall::Open(endpoint) => (endpoint, None),
+            TunnelCall::Refused(endpoint, retry_after) => (endpoint, Some(retry_after)),
+        };
         Self {
             endpoint: endpoint.as_str().to_owned(),
+            retry_after,
         }
     }
 }
 
-impl From<TunnelRequest> for EndpointId {
+impl From<TunnelRequest> for TunnelCall {
     fn from(request: TunnelRequest) -> Self {
-        Self::new(request.endpoint)
+        let endpoint = EndpointId::new(request.endpoint);
+        match request.retry_after {
+            None => Self::Open(endpoint),
+            Some(retry_after) => Self::Refused(endpoint, retry_after),
+        }
     }
 }
 
-/// Answer to a [`TunnelRequest`].
+/// Answer to a [`TunnelCall::Open`].
 #[derives::wire]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum TunnelAnswer {
     Open,
     UnknownEndpoint,
     EndpointUnreachable,
+    EndpointHeld,
     Unavailable,
 }
 
@@ -59,6 +83,7 @@
             Ok(()) => Self::Open,
             Err(TunnelRefusal::UnknownEndpoint) => Self::UnknownEndpoint,
             Err(TunnelRefusal::EndpointUnreachable) => Self::EndpointUnreachable,
+            Err(TunnelRefusal::EndpointHeld) => Self::EndpointHeld,
             Err(TunnelRefusal::Unavailable) => Self::Unavailable,
         }
     }
@@ -70,6 +95,7 @@
             TunnelAnswer::Open => Ok(()),
             TunnelAnswer::UnknownEndpoint => Err(TunnelRefusal::UnknownEndpoint),
             TunnelAnswer::EndpointUnreachable => Err(TunnelRefusal::EndpointUnreachable),
+            TunnelAnswer::EndpointHeld => Err(TunnelRefusal::EndpointHeld),
             TunnelAnswer::Unavailable => Err(TunnelRefusal::Unavailable),
         }
     }
--- a/crates/peer/src/tunnel_server.rs
+++ b/crates/peer/src/tunnel_server.rs
@@ -7,13 +7,15 @@
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
 use futures::{Sink, SinkExt, Stream, StreamExt};
-use policy::ids::EndpointId;
+use policy::ids::{EndpointId, Millis};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
-use crate::tunnel_message::{TunnelAnswer, TunnelRefusal, TunnelRequest, broken_off, frame_codec};
+use crate::tunnel_message::{
+    TunnelAnswer, TunnelCall, TunnelRefusal, TunnelRequest, broken_off, frame_codec,
+};
 
 /// Largest number of bytes in a frame.
 const BUFFER_BYTES: usize = 16 * 1_024;
@@ -39,6 +41,10 @@
         &self,
         endpoint: EndpointId,
     ) -> LocalBoxFuture<'_, Result<TunnelTarget, TunnelRefusal>>;
+
+    /// Records that `endpoint` has refused a request that came through a tunnel of this instance, and
+    /// wants none from it for `retry_after` milliseconds.
+    fn endpoint_refused(&self, endpoint: &EndpointId, retry_after: Millis);
 }
 
 /// Serves tunnels on `listener`. Runs on the calling thread and never returns; connections are
@@ -67,7 +73,14 @@
     let mut frames = Framed::new(stream, frame_codec());
     let first = timeout(REQUEST_TIMEOUT, frames.next()).await?;
     let request: TunnelRequest = serde_json::from_slice(&first.ok_or_else(broken_off)??)?;
-    let connected = handler.connect(EndpointId::from(request)).await;
+    let endpoint = match TunnelCall::from(request) {
+        TunnelCall::Open(endpoint) => endpoint,
+        TunnelCall::Refused(endpoint, retry_after) => {
+            handler.endpoint_refused(&endpoint, retry_after);
+            return Ok(());
+        }
+    };
+    let connected = handler.connect(endpoint).await;
     let result = connected.as_ref().map(|_| ()).map_err(|refusal| *refusal);
     let answer = serde_json::to_vec(&TunnelAnswer::from(result))?;
     frames.send(Bytes::from(answer)).await?;
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -495,7 +495,10 @@
         }
     }
     let status = StatusCode::from_u16(head.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
-    guard.backoffs.read(&guard.endpoint, status, &headers);
+    let refused_for = guard.backoffs.read(&guard.endpoint, status, &headers);
+    if let (Some(retry_after), Some(tunnel)) = (refused_for, &guard.tunnel) {
+        tunnel.report_refusal(&guard.endpoint, retry_after);
+    }
     let is_tunnelled = guard.tunnel.is_some();
     EndpointAnswer {
         is_tunnelled,
--- a/crates/relay/src/endpoint_backoffs.rs
+++ b/crates/relay/src/endpoint_backoffs.rs
@@ -45,22 +45,29 @@
         table.shortest_wait(is_usable, self.clock.now())
     }
 
-    /// Reads the head of an answer of `endpoint`, whichever request it answers: a refusal may state
-    /// a time for which the endpoint wants no requests.
-    pub(crate) fn read(&self, endpoint: &EndpointId, status: StatusCode, headers: &HeaderMap) {
+    /// Reads the head of an answer of `endpoint`, whichever request it answers. Returns the time, in
+    /// milliseconds, for which the endpoint wants no requests if it states one in a refusal.
+    pub(crate) fn read(
+        &self,
+        endpoint: &EndpointId,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Option<Millis> {
         if status != StatusCode::SERVICE_UNAVAILABLE {
-            return;
-        }
-        if let Some(retry_after) = self.dialect.read_answer(headers).retry_after {
-            self.record(endpoint, retry_after);
+            return None;
         }
+        let retry_after = self.dialect.read_answer(headers).retry_after?;
+        self.record(endpoint, retry_after, "answer");
+        Some(retry_after)
     }
 
-    fn record(&self, endpoint: &EndpointId, retry_after: Millis) {
+    /// Records that an endpoint wants no requests from this instance for a time, in milliseconds.
+    pub(crate) fn record(&self, endpoint: &EndpointId, retry_after: Millis, heard_from: &str) {
         let now = self.clock.now();
         let held = self.table.borrow_mut().record(endpoint, retry_after, now);
         spdlog::info!("endpoint wants no requests for a time", kv: {
             endpoint = endpoint.as_str(),
+            heard_from = heard_from,
             retry_after = retry_after,
             held = held,
         });
--- a/crates/relay/src/endpoint_connector.rs
+++ b/crates/relay/src/endpoint_connector.rs
@@ -11,10 +11,10 @@
 use futures::StreamExt;
 use futures::future::{Either, join_all, select};
 use futures::stream::FuturesUnordered;
-use peer::{TunnelError, TunnelRefusal, TunnelStream, open_tunnel};
+use peer::{TunnelError, TunnelRefusal, TunnelStream, open_tunnel, report_refusal};
 use policy::dispatch::placement::EndpointTarget;
 use policy::endpoint_path::{PathChange, PathPlan, PathProbe, PathTable};
-use policy::ids::{DomainId, EndpointId, InstanceId};
+use policy::ids::{DomainId, EndpointId, Millis};
 use policy::tunnel::{TunnelHost, TunnelTable};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
@@ -70,12 +70,33 @@
 /// Counts a tunnel through an instance as open until it is dropped.
 pub struct TunnelUse {
     connector: Rc<EndpointConnector>,
-    instance: InstanceId,
+    host: TunnelHost,
+}
+
+impl TunnelUse {
+    /// Tells the tunnel's host that `endpoint` has refused a request that came through it, and wants
+    /// none from the host for `retry_after` milliseconds.
+    pub fn report_refusal(&self, endpoint: &EndpointId, retry_after: Millis) {
+        let (host, endpoint) = (self.host.clone(), endpoint.clone());
+        tokio::task::spawn_local(async move {
+            let told = report_refusal(host.address, &endpoint, retry_after, TUNNEL_TIMEOUT).await;
+            if let Err(error) = told {
+                spdlog::info!("tunnel's host not told of a refusal", kv: {
+                    host = host.instance.as_str(),
+                    endpoint = endpoint.as_str(),
+                    error:,
+                });
+            }
+        });
+    }
 }
 
 impl Drop for TunnelUse {
     fn drop(&mut self) {
-        self.connector.tunnels.borrow_mut().closed(&self.instance);
+        self.connector
+            .tunnels
+            .borrow_mut()
+            .closed(&self.host.instance);
     }
 }
 
@@ -254,6 +275,7 @@
         let chosen = self.tunnels.borrow_mut().choose(&hosts, self.clock.now());
         let mut hosts = chosen.into_iter();
         let mut requests = FuturesUnordered::new();
+        let mut is_held = false;
         loop {
             if let Some(host) = hosts.next() {
                 requests.push(ask_for_tunnel(host, &target.endpoint));
@@ -264,37 +286,34 @@
                 continue;
             };
             match answer {
-                Ok(stream) => return Ok(self.tunnel_opened(&host.instance, stream)),
+                Ok(stream) => return Ok(self.tunnel_opened(host, stream)),
                 Err(TunnelError::Refused(TunnelRefusal::EndpointUnreachable)) => {
                     let now = self.clock.now();
                     self.paths.borrow_mut().endpoint_lost(&target.endpoint, now);
                     return Err(ConnectError::EndpointLost);
                 }
                 Err(TunnelError::Refused(TunnelRefusal::UnknownEndpoint)) => {}
+                Err(TunnelError::Refused(TunnelRefusal::EndpointHeld)) => is_held = true,
                 Err(TunnelError::Refused(TunnelRefusal::Unavailable) | TunnelError::Unanswered) => {
                     let now = self.clock.now();
                     self.tunnels.borrow_mut().failed(&host.instance, now);
                 }
             }
         }
-        if self.paths.borrow().may_be_cut_off(self.clock.now()) {
+        if is_held || self.paths.borrow().may_be_cut_off(self.clock.now()) {
             return Err(ConnectError::NoPath);
         }
         Err(ConnectError::EndpointLost)
     }
 
-    fn tunnel_opened(
-        self: &Rc<Self>,
-        instance: &InstanceId,
-        stream: TunnelStream,
-    ) -> OpenConnection {
-        self.tunnels.borrow_mut().opened(instance);
+    fn tunnel_opened(self: &Rc<Self>, host: TunnelHost, stream: TunnelStream) -> OpenConnection {
+        self.tunnels.borrow_mut().opened(&host.instance);
         self.opened_tunnels.set(self.opened_tunnels.get() + 1);
         OpenConnection {
             stream: EndpointStream::Right(stream),
             tunnel: Some(TunnelUse {
                 connector: Rc::clone(self),
-                instance: instance.clone(),
+                host,
             }),
         }
     }
--- a/crates/relay/src/tunnel_host.rs
+++ b/crates/relay/src/tunnel_host.rs
@@ -6,7 +6,7 @@
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use peer::{TunnelGuard, TunnelHandler, TunnelRefusal, TunnelTarget};
-use policy::ids::EndpointId;
+use policy::ids::{EndpointId, Millis};
 
 use crate::core::{RelayCore, RelayPhase};
 use crate::handler::InFlightGuard;
@@ -68,6 +68,10 @@
         let Some(target) = self.core.endpoint_target(&endpoint) else {
             return Err(TunnelRefusal::UnknownEndpoint);
         };
+        // The endpoint counts requests by the instance from which they reach it.
+        if self.core.backoffs().holds(&endpoint) {
+            return Err(TunnelRefusal::EndpointHeld);
+        }
         let guard = HostedTunnel::new(&self.core, &self.open_tunnels);
         let others = self.core.other_targets(&endpoint, CONTACT_COUNT);
         let stream = connector.connect_for_peer(&target, &others).await?;
@@ -86,4 +90,8 @@
     ) -> LocalBoxFuture<'_, Result<TunnelTarget, TunnelRefusal>> {
         self.open(endpoint).boxed_local()
     }
+
+    fn endpoint_refused(&self, endpoint: &EndpointId, retry_after: Millis) {
+        self.core.backoffs().record(endpoint, retry_after, "tunnel");
+    }
 }
