Spread the return of instances that an endpoint has refused

Cause: each instance returned at the very time that its refusal had named.

Change: up to a quarter of the stated time more, two seconds at most, by a draw of each refusal.

--- a/crates/policy/src/backoff.rs
+++ b/crates/policy/src/backoff.rs
@@ -2,11 +2,18 @@
 
 use std::collections::BTreeMap;
 
+use crate::cast::{f64_to_u64, u64_to_f64};
 use crate::ids::{EndpointId, Millis};
 
 /// Longest time for which an endpoint's retry-after is kept, in milliseconds.
 const LONGEST_BACKOFF: Millis = 600_000;
 
+/// Share of an endpoint's retry-after over which the instances spread their return.
+const RETURN_SPREAD: f64 = 0.25;
+
+/// Longest time over which they spread it, in milliseconds.
+const LONGEST_RETURN_SPREAD: f64 = 2_000.0;
+
 /// Until when each endpoint wants no requests from this instance.
 #[derive(Debug, Default)]
 pub struct BackoffTable {
@@ -21,11 +28,22 @@
     }
 
     /// Records that `endpoint` refused a request with this retry-after. The later of two ends
-    /// counts. Returns the time for which the endpoint is left alone from now on.
-    pub fn record(&mut self, endpoint: &EndpointId, retry_after: Millis, now: Millis) -> Millis {
+    /// counts. `draw`, a random number between zero and one, spreads the return of instances that
+    /// were refused at the same time. Returns the time for which the endpoint is left alone from now
+    /// on.
+    pub fn record(
+        &mut self,
+        endpoint: &EndpointId,
+        retry_after: Millis,
+        draw: f64,
+        now: Millis,
+    ) -> Millis {
         self.until.retain(|_, until| *until > now);
-        let until = self.until.entry(endpoint.clone()).or_insert(0);
-        *until = (*until).max(now + retry_after.min(LONGEST_BACKOFF));
+        let retry_after = retry_after.min(LONGEST_BACKOFF);
+        let spread = (u64_to_f64(retry_after) * RETURN_SPREAD).min(LONGEST_RETURN_SPREAD);
+        let ends_at = now + retry_after + f64_to_u64(spread * draw);
+        let until = self.until.entry(endpoint.clone()).or_insert(ends_at);
+        *until = (*until).max(ends_at);
         *until - now
     }
 
--- a/crates/relay/src/endpoint_backoffs.rs
+++ b/crates/relay/src/endpoint_backoffs.rs
@@ -6,6 +6,8 @@
 use ntex::http::{HeaderMap, StatusCode};
 use policy::backoff::BackoffTable;
 use policy::ids::{EndpointId, Millis};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 use crate::clock::BootClock;
 use crate::dialect::WireDialect;
@@ -15,6 +17,7 @@
     clock: BootClock,
     dialect: Rc<dyn WireDialect>,
     table: RefCell<BackoffTable>,
+    random: RefCell<SmallRng>,
 }
 
 impl EndpointBackoffs {
@@ -25,6 +28,7 @@
             clock,
             dialect,
             table: RefCell::new(BackoffTable::new()),
+            random: RefCell::new(SmallRng::from_os_rng()),
         }
     }
 
@@ -64,7 +68,11 @@
     /// Records that an endpoint wants no requests from this instance for a time, in milliseconds.
     pub(crate) fn record(&self, endpoint: &EndpointId, retry_after: Millis, heard_from: &str) {
         let now = self.clock.now();
-        let held = self.table.borrow_mut().record(endpoint, retry_after, now);
+        let draw = self.random.borrow_mut().random();
+        let held = self
+            .table
+            .borrow_mut()
+            .record(endpoint, retry_after, draw, now);
         spdlog::info!("endpoint wants no requests for a time", kv: {
             endpoint = endpoint.as_str(),
             heard_from = heard_from,
