Soak: retry-afters during a cut, callers that leave, crashing calls with queries

The bound is the platform's: two requests of a daemon that reaches them, from half a second after the first refusal. The earlier checks are unchanged.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -62,6 +62,16 @@
         )
     }
 
+    /// Path and query of call `id`. Half of the calls that crash endpoints have a query of their own.
+    fn target(self, id: &str) -> String {
+        let path = self.path();
+        let is_odd = id.ends_with(['1', '3', '5', '7', '9']);
+        match self {
+            Self::CrashingStream | Self::CrashingCall if is_odd => format!("{path}?page={id}"),
+            _ => path.to_owned(),
+        }
+    }
+
     fn body(self, id: &str) -> Bytes {
         match self {
             Self::CrashingStream | Self::CrashingCall => Bytes::from_static(CRASHING_BODY),
@@ -142,8 +152,27 @@
         }
     }
 
+    /// Sends a call and closes its connection after `patience`, unless it has been answered.
+    pub async fn call_and_leave(
+        &self,
+        id: &str,
+        kind: CallKind,
+        key: &str,
+        patience: Duration,
+    ) -> CallRecord {
+        let sent = Instant::now();
+        let outcome = tokio::time::timeout(patience, self.exchange(id, kind, key)).await;
+        CallRecord {
+            id: id.to_owned(),
+            kind,
+            daemon: self.daemon,
+            sent,
+            outcome: outcome.unwrap_or(CallOutcome::ConnectionLost),
+        }
+    }
+
     async fn exchange(&self, id: &str, kind: CallKind, key: &str) -> CallOutcome {
-        let url = format!("http://{}{}", self.address, kind.path());
+        let url = format!("http://{}{}", self.address, kind.target(id));
         let mut request = self
             .client
             .request(Method::POST, &url)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -125,6 +125,7 @@
     environment.check_crashing_calls(&mut violations).await;
     environment.check_cut(&mut violations).await;
     environment.check_backoffs(&mut violations).await;
+    environment.check_backoffs_in_cut(&mut violations).await;
     environment.check_limits(&mut violations).await;
     environment.check_leaving(&mut violations).await;
     restarting.abort();
@@ -315,10 +316,14 @@
         tasks
     }
 
-    async fn call(&self, caller: &SoakCaller, kind: CallKind, key: &str) -> CallOutcome {
+    fn next_call_id(&self) -> String {
         let number = self.next_call.get();
         self.next_call.set(number + 1);
-        let record = caller.call(&format!("call-{number}"), kind, key).await;
+        format!("call-{number}")
+    }
+
+    async fn call(&self, caller: &SoakCaller, kind: CallKind, key: &str) -> CallOutcome {
+        let record = caller.call(&self.next_call_id(), kind, key).await;
         let outcome = record.outcome.clone();
         self.calls.borrow_mut().push(record);
         outcome
--- a/crates/soak/src/run/final_checks.rs
+++ b/crates/soak/src/run/final_checks.rs
@@ -11,7 +11,7 @@
 use super::{CRASH_INTERVAL, EVENT_INTERVAL, SoakEnvironment};
 use crate::caller::{CallKind, CallOutcome, SoakCaller};
 use crate::check::{DRAIN_TIME, Violation};
-use crate::schedule::draw_cut;
+use crate::schedule::{CutScope, draw_cut};
 
 /// Time within which every daemon must apply a configuration change, including the time that
 /// querying all daemons takes.
@@ -57,6 +57,16 @@
 /// is refused, and two that are under way.
 const MAX_REQUESTS_IN_BACKOFF: usize = 3;
 
+/// Time after its first refusal in which requests may be on their way to an endpoint.
+const UNDER_WAY: Duration = Duration::from_millis(500);
+
+/// Requests of one daemon that may reach an endpoint after that, before its retry-after has ended.
+const LATE_REQUESTS_IN_BACKOFF: usize = 2;
+
+/// Time that refusals take while daemons are cut off, and time after which callers leave meanwhile.
+const REFUSAL_TIME: Duration = Duration::from_millis(40);
+const CALLER_PATIENCE: Duration = Duration::from_millis(20);
+
 /// Engine that says in its answers that it leaves.
 const SAYS_LEAVING: usize = 1;
 
@@ -227,6 +237,61 @@
         tokio::time::sleep(FINAL_BACKOFF).await;
     }
 
+    /// Checks the same while a failure domain is cut off from all endpoints, so that its requests reach
+    /// them through the other daemons, and while some callers leave before they are refused.
+    pub(super) async fn check_backoffs_in_cut(&self, violations: &mut Vec<Violation>) {
+        let scope = CutScope::Domain(usize::from(self.seed.is_multiple_of(2)));
+        let hosts = (0..self.size.daemons).filter(|daemon| !scope.covers(*daemon));
+        let allowed = hosts.count() * LATE_REQUESTS_IN_BACKOFF;
+        self.set_cut(scope, ProxyMode::Disconnect);
+        self.press(CUT_SETTLING_TIME).await;
+        let refusing = [0, self.endpoints.len() - 1];
+        let said_at = Instant::now();
+        for index in refusing {
+            self.endpoints[index].set_refusal_time(REFUSAL_TIME);
+            self.endpoints[index].set_retry_after(Some(FINAL_BACKOFF.as_secs_f64()));
+        }
+        tokio::join!(
+            self.press(FINAL_BACKOFF),
+            self.press_impatiently(FINAL_BACKOFF)
+        );
+        for index in refusing {
+            let mut arrivals = self.endpoints[index].arrivals();
+            arrivals.retain(|at| *at >= said_at);
+            let first = arrivals.first().copied().unwrap_or(said_at) + REFUSAL_TIME;
+            arrivals.retain(|at| (first + UNDER_WAY..first + FINAL_BACKOFF).contains(at));
+            if arrivals.len() > allowed {
+                let observed = format!("endpoint {index}: {} late requests", arrivals.len());
+                violations.push(Violation::new(
+                    "an endpoint gets no more requests through other daemons until its retry-after \
+                     has ended",
+                    observed,
+                ));
+            }
+            self.endpoints[index].set_retry_after(None);
+            self.endpoints[index].set_refusal_time(Duration::ZERO);
+        }
+        self.set_cut(scope, ProxyMode::Pass);
+        tokio::time::sleep(FINAL_BACKOFF).await;
+    }
+
+    /// Calls the plain service through all daemons for `time` and leaves before the answers.
+    async fn press_impatiently(&self, time: Duration) {
+        let started_at = Instant::now();
+        let addresses = self.caller_addresses().into_iter().enumerate();
+        let callers = addresses.map(|(daemon, address)| async move {
+            while started_at.elapsed() < time {
+                let caller = SoakCaller::new(daemon, address).await;
+                let id = self.next_call_id();
+                let call = caller.call_and_leave(&id, CallKind::Status, "key-0", CALLER_PATIENCE);
+                let record = call.await;
+                self.calls.borrow_mut().push(record);
+                tokio::time::sleep(PRESSING_INTERVAL).await;
+            }
+        });
+        join_all(callers).await;
+    }
+
     /// Checks that an engine and an endpoint of the plain service that name a limit get no more
     /// requests than that, from all daemons together.
     pub(super) async fn check_limits(&self, violations: &mut Vec<Violation>) {
