Soak: let all callers leave while endpoints refuse in a cut

Callers that stay hear the refusals for the others, so that the check could not fail. Now none stays, at engines and plain endpoints.

--- a/crates/soak/src/run/final_checks.rs
+++ b/crates/soak/src/run/final_checks.rs
@@ -238,7 +238,7 @@
     }
 
     /// Checks the same while a failure domain is cut off from all endpoints, so that its requests reach
-    /// them through the other daemons, and while some callers leave before they are refused.
+    /// them through the other daemons, and while all callers leave before they are refused.
     pub(super) async fn check_backoffs_in_cut(&self, violations: &mut Vec<Violation>) {
         let scope = CutScope::Domain(usize::from(self.seed.is_multiple_of(2)));
         let hosts = (0..self.size.daemons).filter(|daemon| !scope.covers(*daemon));
@@ -251,10 +251,7 @@
             self.endpoints[index].set_refusal_time(REFUSAL_TIME);
             self.endpoints[index].set_retry_after(Some(FINAL_BACKOFF.as_secs_f64()));
         }
-        tokio::join!(
-            self.press(FINAL_BACKOFF),
-            self.press_impatiently(FINAL_BACKOFF)
-        );
+        self.press_impatiently(FINAL_BACKOFF).await;
         for index in refusing {
             let mut arrivals = self.endpoints[index].arrivals();
             arrivals.retain(|at| *at >= said_at);
@@ -275,15 +272,19 @@
         tokio::time::sleep(FINAL_BACKOFF).await;
     }
 
-    /// Calls the plain service through all daemons for `time` and leaves before the answers.
+    /// Calls engines and plain endpoints through all daemons for `time` and leaves before the answers.
     async fn press_impatiently(&self, time: Duration) {
         let started_at = Instant::now();
         let addresses = self.caller_addresses().into_iter().enumerate();
         let callers = addresses.map(|(daemon, address)| async move {
-            while started_at.elapsed() < time {
+            let kinds = [CallKind::Question, CallKind::Status];
+            for kind in kinds.into_iter().cycle() {
+                if started_at.elapsed() >= time {
+                    return;
+                }
                 let caller = SoakCaller::new(daemon, address).await;
                 let id = self.next_call_id();
-                let call = caller.call_and_leave(&id, CallKind::Status, "key-0", CALLER_PATIENCE);
+                let call = caller.call_and_leave(&id, kind, "key-0", CALLER_PATIENCE);
                 let record = call.await;
                 self.calls.borrow_mut().push(record);
                 tokio::time::sleep(PRESSING_INTERVAL).await;
