Read the rest of a refused body before its connection is closed

What callers saw: a body over the limit was refused by its declared length, and a caller that was still sending got a broken pipe and lost the 413.

Cause: a connection with unread bytes is closed as soon as its request is answered.

The refusal waits for the rest of the body, for half a second and 256 KiB at most, and not at all for a caller that expects to be told to continue.

--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ntex::http::header::CONTENT_LENGTH;
+use ntex::http::header::{CONTENT_LENGTH, EXPECT};
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::HttpRequest;
 use ntex::web::types::Payload;
@@ -11,9 +11,16 @@
 
 use crate::routes::CallerLimits;
 
-/// Reads the complete body. An oversized request head is refused only afterwards: refusing while
-/// bytes are unread closes the connection, and a caller that is still sending may not see the
-/// response.
+/// Largest rest of a refused body that is read and dropped, in bytes: what a caller may have in its
+/// socket's buffer.
+const MAX_DROPPED_BYTES: usize = 256 * 1_024;
+
+/// Longest time for which the rest of a refused body is read.
+const DROP_TIME: Duration = Duration::from_millis(500);
+
+/// Reads the complete body. An oversized request is refused only after it, or after a part of it that
+/// has a bound: refusing while bytes are unread closes the connection, and a caller that is still
+/// sending may not see the response.
 ///
 /// # Errors
 ///
@@ -21,24 +28,50 @@
 /// `BadRequest` if the transfer fails.
 pub(crate) async fn read_body(
     request: &HttpRequest,
-    payload: Payload,
+    mut payload: Payload,
     limits: &CallerLimits,
 ) -> Result<Bytes, RefusalReason> {
     let declared_bytes = content_length(request);
     if declared_bytes > limits.body_bytes {
+        if !awaits_permission(request) {
+            drop_rest(&mut payload).await;
+        }
         return Err(RefusalReason::BodyTooLarge);
     }
     let time_limit = Duration::from_millis(limits.body_ms);
-    let read = collect_body(payload, declared_bytes, limits.body_bytes);
+    let read = collect_body(&mut payload, declared_bytes, limits.body_bytes);
     let Ok(body) = timeout(time_limit, read).await else {
         return Err(RefusalReason::SlowCaller);
     };
     if head_bytes(request) > limits.header_bytes {
         return Err(RefusalReason::HeadersTooLarge);
     }
+    if body == Err(RefusalReason::BodyTooLarge) {
+        drop_rest(&mut payload).await;
+    }
     body
 }
 
+/// Whether the caller sends its body only once it is told to.
+fn awaits_permission(request: &HttpRequest) -> bool {
+    request.headers().contains_key(EXPECT)
+}
+
+/// Reads and drops the rest of a body, up to a number of bytes and for a time.
+async fn drop_rest(payload: &mut Payload) {
+    let read = async {
+        let mut dropped = 0;
+        while let Some(Ok(chunk)) = payload.recv().await {
+            dropped += chunk.len();
+            if dropped >= MAX_DROPPED_BYTES {
+                return;
+            }
+        }
+    };
+    // The connection of a slower caller is closed under its request.
+    timeout(DROP_TIME, read).await.unwrap_or_default();
+}
+
 /// Length in bytes of the path and the headers, with four bytes of separators (`: ` and CRLF) for
 /// each header.
 fn head_bytes(request: &HttpRequest) -> usize {
@@ -59,7 +92,7 @@
 /// Collects the body. With a declared length the buffer is allocated once, and this is the only
 /// copy of the body.
 async fn collect_body(
-    mut payload: Payload,
+    payload: &mut Payload,
     declared_bytes: usize,
     limit: usize,
 ) -> Result<Bytes, RefusalReason> {
--- a/crates/scenarios/tests/bad_requests.rs
+++ b/crates/scenarios/tests/bad_requests.rs
@@ -154,7 +154,6 @@
 }
 
 #[ntex::test]
-#[ignore = "known red: KNOWN-RED.txt"]
 async fn body_over_the_limit_is_refused() {
     let plan = FleetPlan {
         limits: serde_json::json!({ "body_bytes": 1_000, "lame_duck_ms": 200 }),
@@ -171,6 +170,36 @@
     assert_eq!(answer.status().as_u16(), 413);
 }
 
+/// Pieces of a body that a caller sends one after the other, and the pause between them.
+const PIECE_COUNT: usize = 10;
+const PIECE_BYTES: usize = 2_000;
+const PIECE_PAUSE: Duration = Duration::from_millis(10);
+
+#[ntex::test]
+async fn caller_that_is_still_sending_reads_the_refusal_of_its_body() {
+    let plan = FleetPlan {
+        limits: serde_json::json!({ "body_bytes": 1_000, "lame_duck_ms": 200 }),
+        ..FleetPlan::default()
+    };
+    let fleet = Fleet::start(plan).await;
+    let address = fleet.entries[0].callers;
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: {address}\r\nauthorization: Bearer {API_KEY}\r\n\
+         content-length: {}\r\n\r\n",
+        PIECE_COUNT * PIECE_BYTES
+    );
+    stream.write_all(head.as_bytes()).await.expect("the head");
+    for piece in 0..PIECE_COUNT {
+        tokio::time::sleep(PIECE_PAUSE).await;
+        let sent = stream.write_all(&[b' '; PIECE_BYTES]).await;
+        assert!(sent.is_ok(), "piece {piece}: {sent:?}");
+    }
+    let mut answer = vec![0; 12];
+    stream.read_exact(&mut answer).await.expect("an answer");
+    assert_eq!(String::from_utf8_lossy(&answer), "HTTP/1.1 413");
+}
+
 struct HeaderCase {
     name: &'static str,
     header_bytes: usize,
