Soak: daemons of two builds, and calls to daemons that are suspended

The platform's time bounds hold only for instances that are not frozen, and the caller leaves 1.5 s after the deadline. The check now passes over a call only if its daemon was suspended for a second or more of the call's time to its deadline, by the soak's own record of its signals; every other call is checked as before.

--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -52,11 +52,12 @@
     #[must_use]
     pub fn fingerprints(&self) -> RequestFingerprints {
         *self.fingerprints.get_or_init(|| {
-            let path = self.path_and_query.split('?').next().unwrap_or("");
-            RequestFingerprints {
-                exact: self.hash_with(&self.path_and_query),
-                family: self.hash_with(path),
-            }
+            let exact = self.hash_with(&self.path_and_query);
+            let family = match self.path_and_query.split_once('?') {
+                Some((path, _query)) => self.hash_with(path),
+                None => exact,
+            };
+            RequestFingerprints { exact, family }
         })
     }
 
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -2,12 +2,12 @@
 //! endpoints recorded.
 
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use adapter_standin::RunRecord;
 use ntex::http::StatusCode;
 
-use crate::caller::{CallKind, CallOutcome, CallRecord};
+use crate::caller::{CALL_TIMEOUT, CallKind, CallOutcome, CallRecord};
 
 /// Time by which the time left of a run may exceed the caller's deadline, in milliseconds.
 const TIME_LEFT_SLACK_MS: u64 = 500;
@@ -32,12 +32,40 @@
     }
 }
 
+/// A time in which a daemon's process was suspended.
+#[derives::value]
+pub struct DaemonPause {
+    /// Index of the daemon.
+    pub daemon: usize,
+    /// Begin of the pause.
+    pub from: Instant,
+    /// End of the pause.
+    pub until: Instant,
+}
+
+/// Shortest part of a call's time for which a pause excuses that it was not answered: its caller
+/// closes the connection a second and a half after the deadline, and a daemon needs half a second.
+const EXCUSING_PAUSE: Duration = Duration::from_secs(1);
+
+/// Whether the daemon was suspended for so much of the call's time that its caller could not see an
+/// answer.
+fn is_excused_by_pause(call: &CallRecord, pauses: &[DaemonPause]) -> bool {
+    let deadline = call.sent + CALL_TIMEOUT;
+    let own = pauses.iter().filter(|pause| pause.daemon == call.daemon);
+    let overlap = |pause: &DaemonPause| {
+        let until = pause.until.min(deadline);
+        until.saturating_duration_since(pause.from.max(call.sent))
+    };
+    own.map(overlap).sum::<Duration>() >= EXCUSING_PAUSE
+}
+
 /// Checks all calls against all runs at the endpoints. `complete_stream` is the complete body of a
 /// streamed answer.
 #[must_use]
 pub fn check_calls(
     calls: &[CallRecord],
     runs: &[RunRecord],
+    pauses: &[DaemonPause],
     complete_stream: &str,
 ) -> Vec<Violation> {
     let mut by_request: HashMap<&str, Vec<&RunRecord>> = HashMap::new();
@@ -47,6 +75,18 @@
     let mut violations = Vec::new();
     for call in calls {
         let runs = by_request.remove(call.id.as_str()).unwrap_or_default();
+        if call.outcome == CallOutcome::TimedOut && !is_excused_by_pause(call, pauses) {
+            let observed = format!(
+                "request {} to daemon {}: no response, and the connection stayed open; {} runs",
+                call.id,
+                call.daemon,
+                runs.len()
+            );
+            violations.push(Violation::new(
+                "every request ends by its deadline",
+                observed,
+            ));
+        }
         check_call(call, &runs, complete_stream, &mut violations);
     }
     for (request, _) in by_request {
@@ -99,10 +139,6 @@
         );
     }
     match &call.outcome {
-        CallOutcome::TimedOut => report(
-            "every request ends by its deadline",
-            "no response, and the connection stayed open",
-        ),
         CallOutcome::Response(StatusCode::OK, body) => {
             let complete = match call.kind {
                 kind if kind.is_stream() => complete_stream,
@@ -126,7 +162,7 @@
         CallOutcome::Response(status, _) if status.is_client_error() => {
             report("valid requests get no client error", status.as_str());
         }
-        CallOutcome::ConnectionLost | CallOutcome::Response(..) => {}
+        CallOutcome::TimedOut | CallOutcome::ConnectionLost | CallOutcome::Response(..) => {}
     }
 }
 
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -50,7 +50,9 @@
 /// the process.
 #[derive(Debug)]
 pub struct SoakDaemon {
-    program: PathBuf,
+    /// Programs of which each start takes the next one.
+    programs: Vec<PathBuf>,
+    starts: usize,
     settings: PathBuf,
     log: PathBuf,
     host: Ipv4Addr,
@@ -58,13 +60,15 @@
 }
 
 impl SoakDaemon {
-    /// Prepares a daemon that keeps its settings and log in `folder`, without starting it.
+    /// Prepares a daemon that keeps its settings and log in `folder`, without starting it. Its starts
+    /// take the `programs` in turn, from the one with index `first`.
     ///
     /// # Errors
     ///
     /// When the settings file cannot be written.
     pub fn new(
-        program: &Path,
+        programs: &[PathBuf],
+        first: usize,
         folder: &Path,
         name: &str,
         domain: &str,
@@ -77,7 +81,8 @@
             settings_json(name, domain, &host.to_string(), store),
         )?;
         Ok(Self {
-            program: program.to_owned(),
+            programs: programs.to_vec(),
+            starts: first,
             settings,
             log: folder.join(format!("{name}.log")),
             host,
@@ -101,7 +106,9 @@
             return Ok(());
         }
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new(&self.program)
+        let program = &self.programs[self.starts % self.programs.len()];
+        self.starts += 1;
+        let child = Command::new(program)
             .arg("--settings")
             .arg(&self.settings)
             .stdout(log)
@@ -111,6 +118,17 @@
         Ok(())
     }
 
+    /// Whether the last start took the first program.
+    #[must_use]
+    pub fn runs_first_program(&self) -> bool {
+        self.starts % self.programs.len() == 1 % self.programs.len()
+    }
+
+    /// Makes the next start take the first program.
+    pub fn skip_to_first_program(&mut self) {
+        self.starts = 0;
+    }
+
     /// Returns whether the daemon's process is running.
     pub fn is_running(&mut self) -> bool {
         match &mut self.child {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -55,6 +55,17 @@
     /// Number of endpoints of the plain service.
     #[arg(long, default_value_t = 2)]
     workers: usize,
+    /// Program of an older daemon, which every second start of a daemon takes.
+    #[arg(long)]
+    old: Option<PathBuf>,
+}
+
+impl SizeArgs {
+    /// The programs that daemons run, the newest first.
+    fn programs(&self, newest: &Path) -> Vec<PathBuf> {
+        let newest = std::iter::once(newest.to_owned());
+        newest.chain(self.old.clone()).collect()
+    }
 }
 
 impl From<&SizeArgs> for SoakSize {
@@ -69,7 +80,7 @@
 
 #[ntex::main]
 async fn main() -> anyhow::Result<ExitCode> {
-    let program = daemon_program()?;
+    let newest = daemon_program()?;
     let mut all_passed = true;
     match SoakArgs::parse().command {
         SoakCommand::Run {
@@ -84,16 +95,18 @@
                     println!("time limit reached before seed {seed}");
                     break;
                 }
-                let report = run_and_print(seed, &SoakSize::from(&size), &program).await?;
+                let programs = size.programs(&newest);
+                let report = run_and_print(seed, &SoakSize::from(&size), &programs).await?;
                 all_passed &= report.violations.is_empty();
             }
         }
         SoakCommand::Replay { seed, size } => {
+            let programs = size.programs(&newest);
             let size = SoakSize::from(&size);
             for time in draw_schedule(seed, &size) {
                 println!("{time:?}");
             }
-            all_passed = run_and_print(seed, &size, &program)
+            all_passed = run_and_print(seed, &size, &programs)
                 .await?
                 .violations
                 .is_empty();
@@ -106,11 +119,15 @@
     })
 }
 
-async fn run_and_print(seed: u64, size: &SoakSize, program: &Path) -> anyhow::Result<SoakReport> {
+async fn run_and_print(
+    seed: u64,
+    size: &SoakSize,
+    programs: &[PathBuf],
+) -> anyhow::Result<SoakReport> {
     let name = format!("jackdawpoint-soak-{}-{seed}", std::process::id());
     let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder).context("cannot create the folder for the daemons' files")?;
-    let report = run_seed(seed, size, program, &folder).await?;
+    let report = run_seed(seed, size, programs, &folder).await?;
     println!(
         "seed {seed}: {} faults, {} calls, {} complete answers, {} violations",
         report.faults,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,7 +5,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::Ipv4Addr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -21,7 +21,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::caller::{CRASHING_BODY, CRASHING_PART, CallKind, CallOutcome, CallRecord, SoakCaller};
-use crate::check::{Violation, check_calls};
+use crate::check::{DaemonPause, Violation, check_calls};
 use crate::daemon::{DaemonSignal, SoakDaemon};
 use crate::schedule::{CutScope, DOMAIN_COUNT, FaultTime, SoakFault, SoakSize, draw_schedule};
 
@@ -84,12 +84,15 @@
     /// Version of the newest configuration.
     version: Cell<u64>,
     calls: RefCell<Vec<CallRecord>>,
+    /// Pauses of daemons so far.
+    pauses: RefCell<Vec<DaemonPause>>,
     next_call: Cell<u64>,
     is_finished: Cell<bool>,
 }
 
-/// Runs one seed and reports the violations. Must be called within a running ntex system. `program`
-/// is the daemon to run; settings and logs are written to `folder`.
+/// Runs one seed and reports the violations. Must be called within a running ntex system. Each
+/// start of a daemon takes the next of `programs`; before the final checks all run the first one.
+/// Settings and logs are written to `folder`.
 ///
 /// # Errors
 ///
@@ -97,10 +100,10 @@
 pub async fn run_seed(
     seed: u64,
     size: &SoakSize,
-    program: &Path,
+    programs: &[PathBuf],
     folder: &Path,
 ) -> anyhow::Result<SoakReport> {
-    let environment = Rc::new(SoakEnvironment::new(seed, size, program, folder).await?);
+    let environment = Rc::new(SoakEnvironment::new(seed, size, programs, folder).await?);
     let schedule = draw_schedule(seed, size);
     for daemon in environment.daemons.borrow_mut().iter_mut() {
         daemon.start()?;
@@ -118,6 +121,7 @@
     let crashing = Rc::clone(&environment);
     let crashing = tokio::task::spawn_local(async move { crashing.call_crashing().await });
     join_all(schedule.iter().map(|time| environment.inject(time))).await;
+    environment.finish_upgrade().await;
     tokio::time::sleep(RECOVERY_TIME).await;
     environment.is_finished.set(true);
     join_all(callers).await;
@@ -132,7 +136,12 @@
     environment.check_after_recovery(&mut violations).await;
     let runs = environment.runs();
     let calls = environment.calls.borrow();
-    violations.extend(check_calls(&calls, &runs, &complete_stream()));
+    violations.extend(check_calls(
+        &calls,
+        &runs,
+        &environment.pauses.borrow(),
+        &complete_stream(),
+    ));
     let is_complete =
         |call: &&CallRecord| matches!(call.outcome, CallOutcome::Response(StatusCode::OK, _));
     Ok(SoakReport {
@@ -148,7 +157,7 @@
     async fn new(
         seed: u64,
         size: &SoakSize,
-        program: &Path,
+        programs: &[PathBuf],
         folder: &Path,
     ) -> anyhow::Result<Self> {
         let any = std::net::SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 0);
@@ -194,7 +203,8 @@
             let domain = DOMAINS[index % DOMAIN_COUNT];
             let name = format!("entry-{index}");
             daemons.push(SoakDaemon::new(
-                program,
+                programs,
+                index,
                 folder,
                 &name,
                 domain,
@@ -216,6 +226,7 @@
             size: size.clone(),
             version: Cell::new(0),
             calls: RefCell::new(Vec::new()),
+            pauses: RefCell::new(Vec::new()),
             next_call: Cell::new(0),
             is_finished: Cell::new(false),
         };
@@ -316,6 +327,22 @@
         tasks
     }
 
+    /// Replaces the daemons that run another program than the first one, one after the other.
+    async fn finish_upgrade(&self) {
+        for daemon in 0..self.size.daemons {
+            if self.daemons.borrow()[daemon].runs_first_program() {
+                continue;
+            }
+            self.signal(daemon, DaemonSignal::Terminate);
+            while self.daemons.borrow_mut()[daemon].is_running() {
+                tokio::time::sleep(EVENT_INTERVAL).await;
+            }
+            // Each start takes the next program.
+            self.daemons.borrow_mut()[daemon].skip_to_first_program();
+            self.restart(daemon);
+        }
+    }
+
     fn next_call_id(&self) -> String {
         let number = self.next_call.get();
         self.next_call.set(number + 1);
@@ -349,9 +376,15 @@
                 self.restart(daemon);
             }
             SoakFault::Pause(daemon) => {
+                let from = Instant::now();
                 self.signal(daemon, DaemonSignal::Pause);
                 tokio::time::sleep(length).await;
                 self.signal(daemon, DaemonSignal::Resume);
+                self.pauses.borrow_mut().push(DaemonPause {
+                    daemon,
+                    from,
+                    until: Instant::now(),
+                });
             }
             SoakFault::Reload(daemon) => self.signal(daemon, DaemonSignal::Reload),
             SoakFault::Store(fault) => {
