--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -15,8 +15,9 @@
 
 /// Messages of the log lines about a change of an instance's view or of a dependency. They have to
 /// match the messages that the instances log, word for word.
-const STATE_CHANGE_MESSAGES: [&str; 22] = [
+const STATE_CHANGE_MESSAGES: [&str; 24] = [
     "configuration applied",
+    "crash excused by a whole answer",
     "crash notice applied",
     "cut off from endpoints; sending through other instances",
     "endpoint changed",
@@ -38,6 +39,7 @@
     "steward lost",
     "store unavailable",
     "store available again",
+    "tunnel's host not told of a refusal",
 ];
 
 /// A line of an instance's JSON log.
