Excuse the parts of a prompt whose silent run was served elsewhere

Soak: the time in which a suspension excuses a call is all that its caller waits. A second of suspension within the wait is still needed.

--- a/crates/relay/src/crash_registry.rs
+++ b/crates/relay/src/crash_registry.rs
@@ -332,6 +332,11 @@
     }
 
     fn record_served(&mut self, served: &ServedRun, now: Millis) -> bool {
+        // A request that has been served speaks no more for a fault of its prompt's parts.
+        let is_same = |run: &&mut SilentRun| run.crash.report.fingerprint == served.fingerprint;
+        for run in self.silent_runs.iter_mut().filter(is_same) {
+            run.crash.parts.clear();
+        }
         let excuses_request = self.table.record_served(served, now);
         let excuses_family = self.families.record_family_served(served, now);
         excuses_request || excuses_family
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -13,7 +13,7 @@
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Time after the deadline within which a call must have been answered or its connection closed.
-const TIMEOUT_SLACK: Duration = Duration::from_millis(1_500);
+pub const TIMEOUT_SLACK: Duration = Duration::from_millis(1_500);
 
 /// Time for which callers keep idle connections open.
 const IDLE_TIMEOUT: Seconds = Seconds(30);
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -7,7 +7,7 @@
 use adapter_standin::RunRecord;
 use ntex::http::StatusCode;
 
-use crate::caller::{CALL_TIMEOUT, CallKind, CallOutcome, CallRecord};
+use crate::caller::{CALL_TIMEOUT, CallKind, CallOutcome, CallRecord, TIMEOUT_SLACK};
 
 /// Time by which the time left of a run may exceed the caller's deadline, in milliseconds.
 const TIME_LEFT_SLACK_MS: u64 = 500;
@@ -43,17 +43,17 @@
     pub until: Instant,
 }
 
-/// Shortest part of a call's time for which a pause excuses that it was not answered: its caller
-/// closes the connection a second and a half after the deadline, and a daemon needs half a second.
+/// Shortest part of the time that a caller waits for which a pause excuses that it saw no answer: it
+/// waits for a second and a half after the deadline, and a daemon needs half a second.
 const EXCUSING_PAUSE: Duration = Duration::from_secs(1);
 
-/// Whether the daemon was suspended for so much of the call's time that its caller could not see an
-/// answer.
+/// Whether the daemon was suspended for so much of the time that the caller waited that it could not
+/// see an answer.
 fn is_excused_by_pause(call: &CallRecord, pauses: &[DaemonPause]) -> bool {
-    let deadline = call.sent + CALL_TIMEOUT;
+    let left_at = call.sent + CALL_TIMEOUT + TIMEOUT_SLACK;
     let own = pauses.iter().filter(|pause| pause.daemon == call.daemon);
     let overlap = |pause: &DaemonPause| {
-        let until = pause.until.min(deadline);
+        let until = pause.until.min(left_at);
         until.saturating_duration_since(pause.from.max(call.sent))
     };
     own.map(overlap).sum::<Duration>() >= EXCUSING_PAUSE
