Let calls of the store grow apart while it is away

Cause: during an outage of the store each instance called it at a fixed pace.

Change: policy::retry_delay (decorrelated jitter) paces all callers. Two readers a failure domain look for the store's return within half a second; followers ask them each 300 ms, and call the store themselves at delays of 0.3 to 4 s. A follower keeps its connections to both readers: asked in turn, each was connected anew.

Ruled out: a message that tells followers why a reader declines (no change of the protocol is needed: readers that decline are asked again).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod prompt_part;
 pub mod rate_limit;
 pub mod retry;
+pub mod retry_delay;
 pub mod rollout;
 pub mod steward;
 pub mod template;
--- a/crates/relay/src/forwarded_store.rs
+++ b/crates/relay/src/forwarded_store.rs
@@ -1,8 +1,8 @@
 //! The platform's store, which a few instances of a failure domain read and whose changes they
 //! forward to the others.
 
-use std::cell::RefCell;
-use std::collections::{HashSet, VecDeque};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,11 +16,13 @@
 };
 use policy::forwarding_budget::ForwardingBudget;
 use policy::ids::Millis;
+use policy::retry_delay::RetryDelay;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::BootClock;
 use crate::placement_router::PlacementRouter;
+use crate::store_outage::{StoreOutage, informed_delay};
 
 /// Number of changes that a reader buffers for its followers.
 const MAX_BUFFERED_CHANGES: usize = 2_048;
@@ -39,10 +41,16 @@
 /// Limit for connecting to a reader: a round trip within a failure domain.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Time for which a reader that declined, was unreachable or did not answer is skipped, in
-/// milliseconds.
+/// Time for which a reader that was unreachable or did not answer is skipped, in milliseconds.
 const READER_RETRY_DELAY: Millis = 3_000;
 
+/// Time for which a reader that declined is skipped, in milliseconds. It is reachable, and answers
+/// as soon as the store answers it: this is how followers learn that the store is back.
+const DECLINED_RETRY_DELAY: Millis = 300;
+
+/// Pause between two rounds of requests to the readers while they decline.
+const READER_ROUND_PAUSE: Duration = Duration::from_millis(300);
+
 /// The latest changes that a reader has seen.
 ///
 /// Invariant: contains all changes with a revision above `start` and up to `current`.
@@ -185,12 +193,6 @@
     }
 }
 
-/// Connection to a reader.
-struct ReaderLink {
-    address: SocketAddr,
-    link: ChangeLink,
-}
-
 /// Result of requesting changes from a reader.
 #[derive(Debug)]
 enum ReaderOutcome {
@@ -211,8 +213,24 @@
     router: Rc<PlacementRouter>,
     source: ChangeSource,
     clock: BootClock,
-    link: RefCell<Option<ReaderLink>>,
+    /// Open connections to readers, by address.
+    links: RefCell<HashMap<SocketAddr, ChangeLink>>,
     unavailable_readers: RefCell<Vec<(SocketAddr, Millis)>>,
+    outage: Rc<StoreOutage>,
+    /// Delays between a follower's own calls while its readers decline.
+    follower_delay: RefCell<RetryDelay>,
+    /// Until when a follower leaves the store to its readers.
+    direct_after: Cell<Millis>,
+}
+
+/// Whether a follower has to watch the store itself.
+#[derive(Debug)]
+enum ReaderRound {
+    Changes(WatchReport),
+    /// All reachable readers declined: the store may be away for them too.
+    Declined,
+    /// No reader could be asked.
+    Unavailable,
 }
 
 impl ForwardedStore {
@@ -231,11 +249,21 @@
             router,
             source: ChangeSource::new(clock.clone(), link_rate),
             clock,
-            link: RefCell::new(None),
+            links: RefCell::default(),
             unavailable_readers: RefCell::new(Vec::new()),
+            outage: Rc::default(),
+            follower_delay: RefCell::new(informed_delay()),
+            direct_after: Cell::new(0),
         }
     }
 
+    /// Shares `outage` with the other parts that call the store.
+    #[must_use]
+    pub fn with_outage(mut self, outage: Rc<StoreOutage>) -> Self {
+        self.outage = outage;
+        self
+    }
+
     /// The changes that this instance forwards to its followers.
     #[must_use]
     pub fn source(&self) -> ChangeSource {
@@ -266,36 +294,87 @@
         report
     }
 
-    /// Watches through a reader; `None` if the store has to be watched directly.
-    async fn watch_reader(&self, revision: u64) -> Option<WatchReport> {
+    /// Watches as a follower: through a reader, or directly if no reader can be asked. While readers
+    /// decline, they are asked again, and the store is called at growing intervals only, since it is
+    /// probably away for all instances.
+    async fn watch_following(
+        &self,
+        revision: u64,
+        wait: u64,
+    ) -> Result<WatchReport, KeyValueError> {
+        loop {
+            match self.watch_reader(revision).await {
+                ReaderRound::Changes(report) => {
+                    self.follower_delay.borrow_mut().reset();
+                    self.direct_after.set(0);
+                    return Ok(report);
+                }
+                ReaderRound::Declined if self.direct_after.get() == 0 => self.postpone_direct(),
+                ReaderRound::Declined | ReaderRound::Unavailable => {}
+            }
+            if self.clock.now() >= self.direct_after.get() {
+                break;
+            }
+            tokio::time::sleep(READER_ROUND_PAUSE).await;
+        }
+        let report = self.watch_direct("", revision, wait).await;
+        match &report {
+            Ok(_) => {
+                self.follower_delay.borrow_mut().reset();
+                self.direct_after.set(0);
+            }
+            Err(_) => self.postpone_direct(),
+        }
+        report
+    }
+
+    /// Leaves the store to the readers for the next of the follower's delays.
+    fn postpone_direct(&self) {
+        let delay = self
+            .outage
+            .next_delay(&mut self.follower_delay.borrow_mut());
+        let delay = Millis::try_from(delay.as_millis()).unwrap_or(Millis::MAX);
+        self.direct_after.set(self.clock.now() + delay);
+    }
+
+    async fn watch_reader(&self, revision: u64) -> ReaderRound {
         let now = self.clock.now();
         self.unavailable_readers
             .borrow_mut()
             .retain(|(_, until)| now < *until);
-        for address in self.router.readers() {
+        let mut round = ReaderRound::Unavailable;
+        let readers = self.router.readers();
+        self.links
+            .borrow_mut()
+            .retain(|address, _| readers.contains(address));
+        for address in readers {
             let is_unavailable = |(reader, _): &(SocketAddr, Millis)| *reader == address;
             if self.unavailable_readers.borrow().iter().any(is_unavailable) {
                 continue;
             }
             let answer = self.request_changes(address, revision).await;
-            if let ReaderOutcome::Changes(report) = answer {
-                return Some(report);
-            }
+            let retry_delay = match answer {
+                ReaderOutcome::Changes(report) => return ReaderRound::Changes(report),
+                ReaderOutcome::Declined => DECLINED_RETRY_DELAY,
+                ReaderOutcome::Unreachable | ReaderOutcome::NoAnswer => READER_RETRY_DELAY,
+            };
             self.unavailable_readers
                 .borrow_mut()
-                .push((address, self.clock.now() + READER_RETRY_DELAY));
-            // Waiting for a second reader as long would delay changes too much.
-            if matches!(answer, ReaderOutcome::NoAnswer) {
-                return None;
+                .push((address, self.clock.now() + retry_delay));
+            match answer {
+                ReaderOutcome::Declined => round = ReaderRound::Declined,
+                // Waiting for a second reader as long would delay changes too much.
+                ReaderOutcome::NoAnswer => return ReaderRound::Unavailable,
+                ReaderOutcome::Changes(_) | ReaderOutcome::Unreachable => {}
             }
         }
-        None
+        round
     }
 
     async fn request_changes(&self, address: SocketAddr, revision: u64) -> ReaderOutcome {
-        let pooled = self.link.borrow_mut().take();
-        let link = match pooled.filter(|pooled| pooled.address == address) {
-            Some(pooled) => pooled.link,
+        let pooled = self.links.borrow_mut().remove(&address);
+        let link = match pooled {
+            Some(link) => link,
             None => match ChangeLink::connect(address, CONNECT_TIMEOUT).await {
                 Ok(link) => {
                     spdlog::info!("reader connected", kv: {
@@ -317,7 +396,7 @@
                 return ReaderOutcome::NoAnswer;
             }
         };
-        *self.link.borrow_mut() = Some(ReaderLink { address, link });
+        self.links.borrow_mut().insert(address, link);
         match batch {
             Some(batch) => ReaderOutcome::Changes(WatchReport {
                 revision: batch.revision,
@@ -384,12 +463,8 @@
         async move {
             // Readers forward the changes of all keys, so a watch with a prefix goes to the store
             // directly.
-            if revision > 0
-                && prefix.is_empty()
-                && !self.router.is_reader()
-                && let Some(report) = self.watch_reader(revision).await
-            {
-                return Ok(report);
+            if revision > 0 && prefix.is_empty() && !self.router.is_reader() {
+                return self.watch_following(revision, wait).await;
             }
             let wait = if self.router.reads_for_others() {
                 wait.min(READER_WATCH_WAIT)
--- a/crates/relay/tests/forwarded_store.rs
+++ b/crates/relay/tests/forwarded_store.rs
@@ -9,7 +9,7 @@
 use futures::FutureExt;
 use jackdawpoint_relay::clock::BootClock;
 use jackdawpoint_relay::{DispatcherDriver, ForwardedStore, PlacementRouter};
-use peer::ChangeHandler;
+use peer::{ChangeHandler, serve_instance};
 use platform::{
     CasOutcome, KeyValue, KeyValueError, LeaseId, LeaseState, ListedInstance, PlatformFuture,
     StoredKey, StoredValue, WatchEvent, WatchReport,
@@ -29,6 +29,8 @@
     LargeValue,
     /// No change.
     NoChange,
+    /// The store cannot be reached.
+    Away,
 }
 
 /// Size of a large configuration, in bytes.
@@ -96,6 +98,7 @@
                 WatchScript::Hang => std::future::pending().await,
                 WatchScript::LargeValue => Ok(report(revision, Some("x".repeat(LARGE_VALUE)))),
                 WatchScript::NoChange => Ok(report(FIRST_REVISION, None)),
+                WatchScript::Away => Err(KeyValueError::Unreachable),
             }
         }
         .boxed_local()
@@ -126,6 +129,12 @@
     members: &[(&str, SocketAddr)],
     link_rate: u64,
 ) -> ForwardedStore {
+    let router = router_of(instance, members);
+    ForwardedStore::new(direct, router, BootClock::new(), link_rate)
+}
+
+/// The router of `instance`, which knows the `members` of its failure domain.
+fn router_of(instance: &str, members: &[(&str, SocketAddr)]) -> Rc<PlacementRouter> {
     let clock = BootClock::new();
     let domain = DomainId::new("near");
     let driver = Rc::new(DispatcherDriver::new(
@@ -148,7 +157,7 @@
         };
         router.put_member(InstanceId::new(*name), member);
     }
-    ForwardedStore::new(direct, router, clock, link_rate)
+    router
 }
 
 const UNUSED_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
@@ -255,3 +264,84 @@
     );
     assert_eq!(direct.calls.get(), 2);
 }
+
+/// Pause of an instance between two watches.
+const LOOP_PAUSE: Duration = Duration::from_millis(150);
+
+/// A reader for other instances, whose own calls of `direct` go on all the time.
+fn serve_reader(listener: TcpListener, direct: Rc<ScriptedStore>) {
+    let address = listener.local_addr().expect("bound");
+    let members = [("reader", address)];
+    let store = store_of(direct, "reader", &members, WIDE_LINK);
+    let handler: Rc<PlacementRouter> = router_of("reader", &members);
+    let source = Rc::new(store.source());
+    tokio::task::spawn_local(serve_instance(listener, handler, source));
+    tokio::task::spawn_local(async move {
+        loop {
+            let revision = FIRST_REVISION;
+            // The script answers at once, so failures and changes are waited for here.
+            let _ = store.watch("", revision, 100).await;
+            tokio::time::sleep(LOOP_PAUSE).await;
+        }
+    });
+}
+
+/// Follows the store through four readers for `length`, and returns the follower's own calls.
+async fn calls_of_a_follower(direct: WatchScript, readers: WatchScript, length: Duration) -> u32 {
+    let mut members = Vec::new();
+    for name in ["a", "b", "c", "d", "e"] {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+        let listener = listener.expect("a free port");
+        members.push((name, listener.local_addr().expect("bound")));
+        serve_reader(listener, ScriptedStore::new(readers));
+    }
+    let direct = ScriptedStore::new(direct);
+    let store = store_of(Rc::clone(&direct), "follower", &members, WIDE_LINK);
+    store.watch("", 0, 0).await.expect("the store answers");
+    let following = async {
+        loop {
+            let _ = store.watch("", FIRST_REVISION, 100).await;
+            tokio::time::sleep(LOOP_PAUSE).await;
+        }
+    };
+    // The loop never ends by itself.
+    let _ = tokio::time::timeout(length, following).await;
+    direct.calls.get() - 1
+}
+
+#[tokio::test]
+async fn followers_leave_an_unavailable_store_to_their_readers() {
+    struct Case {
+        name: &'static str,
+        direct: WatchScript,
+        readers: WatchScript,
+        calls: std::ops::RangeInclusive<u32>,
+    }
+    let cases = [
+        Case {
+            name: "the store is away for all: a call a second at most",
+            direct: WatchScript::Away,
+            readers: WatchScript::Away,
+            calls: 1..=4,
+        },
+        Case {
+            name: "the readers serve: no call",
+            direct: WatchScript::Away,
+            readers: WatchScript::NoChange,
+            calls: 0..=0,
+        },
+        Case {
+            name: "only the readers are turned away: the follower is served",
+            direct: WatchScript::NoChange,
+            readers: WatchScript::Away,
+            calls: 1..=u32::MAX,
+        },
+    ];
+    for case in cases {
+        let length = Duration::from_secs(4);
+        let calls = tokio::task::LocalSet::new()
+            .run_until(calls_of_a_follower(case.direct, case.readers, length))
+            .await;
+        assert!(case.calls.contains(&calls), "{}: {calls} calls", case.name);
+    }
+}
