Suppress statements on parts of prompts that other instances make too

Cause: when a fleet hears of crashes in series, each instance blames the part and says so, and each instance that knows a later write answers each verdict: notices grow with the square of the fleet.

Crashes are shared at once as before.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod retry;
 pub mod retry_delay;
 pub mod rollout;
+pub mod statement_delay;
 pub mod steward;
 pub mod template;
 pub mod tunnel;
--- a/crates/relay/src/core/crashes.rs
+++ b/crates/relay/src/core/crashes.rs
@@ -239,6 +239,14 @@
         Refusal::new(RefusalReason::Quarantined, request.time_left(now))
     }
 
+    /// Shares the statements on parts of prompts that no other instance has made meanwhile.
+    pub(super) fn release_statements(&self) {
+        let mut crashes = self.dependencies.crashes.borrow_mut();
+        crashes.set_fleet_size(self.placement().fleet_size());
+        crashes.release_statements(self.now());
+        self.settle_blame(&mut crashes);
+    }
+
     /// Logs the parts of prompts that were blamed or cleared since the last call, and wakes the task
     /// that shares crash notices if there are any.
     fn settle_blame(&self, crashes: &mut CrashRegistry) {
--- a/crates/relay/src/core/mod.rs
+++ b/crates/relay/src/core/mod.rs
@@ -217,6 +217,7 @@
             tokio::time::sleep(MAINTENANCE_PERIOD).await;
             self.update_endpoints(EndpointView::expire);
             self.dependencies.connections.expire();
+            self.release_statements();
         }
     }
 
--- a/crates/relay/src/crash_registry.rs
+++ b/crates/relay/src/crash_registry.rs
@@ -1,7 +1,7 @@
 //! What this instance knows of endpoints that crashed under a request, from its own runs and from
 //! the other instances, and the reports that the others have yet to learn.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use policy::ids::{EndpointId, Millis};
 use policy::part_blame::{BlameChange, PartTable};
@@ -9,6 +9,9 @@
     CrashReport, Fingerprint, PoisonStatus, PoisonTable, RequestFingerprints, RunCrash, ServedRun,
 };
 use policy::prompt_part::PromptPart;
+use policy::statement_delay::{STATEMENT_INTERVAL, statement_delay};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 /// Largest number of reports that wait to be shared; beyond it the oldest one is dropped.
 const MAX_UNSHARED: usize = 2_000;
@@ -61,11 +64,36 @@
     silent_runs: VecDeque<SilentRun>,
     /// With the time of each.
     unshared: VecDeque<(Millis, CrashNotice)>,
+    /// Statements on parts, and from when they are to be shared.
+    statements: BTreeMap<PartStatement, Millis>,
+    /// When each statement was last shared or heard.
+    stated_at: BTreeMap<PartStatement, Millis>,
+    /// Number of instances that may make the same statements.
+    fleet_size: usize,
+    random: SmallRng,
     /// Name of this incarnation of the instance; the names of its runs begin with it.
     instance: String,
     last_run: u64,
 }
 
+/// A statement on a part that any instance with the same evidence may make.
+#[derives::tag]
+enum PartStatement {
+    /// The part is blamed.
+    Blamed(PromptPart),
+    /// A run has written on the part since the crashes for which another instance blames it.
+    Written(PromptPart),
+}
+
+impl From<PartStatement> for CrashNotice {
+    fn from(statement: PartStatement) -> Self {
+        match statement {
+            PartStatement::Blamed(part) => Self::Blamed(part),
+            PartStatement::Written(part) => Self::Written(vec![part]),
+        }
+    }
+}
+
 impl CrashRegistry {
     /// Creates an empty registry. `table` decides on quarantines of requests, `families` on those of
     /// requests that differ in their query only, and `parts` on those of parts of prompts;
@@ -83,6 +111,10 @@
             parts,
             silent_runs: VecDeque::new(),
             unshared: VecDeque::new(),
+            statements: BTreeMap::new(),
+            stated_at: BTreeMap::new(),
+            fleet_size: 1,
+            random: SmallRng::from_os_rng(),
             instance: instance.to_owned(),
             last_run: 0,
         }
@@ -157,12 +189,57 @@
                 && self.parts.quarantined(&[*part], now).is_some()
                 && !self.parts.has_verdict(*part)
             {
-                self.share(CrashNotice::Blamed(*part), now);
+                self.state(PartStatement::Blamed(*part), now);
             }
         }
         changes
     }
 
+    /// Sets the number of instances that hear the same notices.
+    pub fn set_fleet_size(&mut self, instances: usize) {
+        self.fleet_size = instances;
+    }
+
+    /// Shares the statements whose delay has passed.
+    pub fn release_statements(&mut self, now: Millis) {
+        let is_due = |(_, due): &(&PartStatement, &Millis)| **due <= now;
+        let due: Vec<PartStatement> = self
+            .statements
+            .iter()
+            .filter(is_due)
+            .map(|(statement, _)| *statement)
+            .collect();
+        for statement in due {
+            self.heard(statement, now);
+            self.share(CrashNotice::from(statement), now);
+        }
+        self.stated_at
+            .retain(|_, at| now.saturating_sub(*at) < STATEMENT_INTERVAL);
+    }
+
+    /// Makes a statement after a random delay, unless another instance has made it by then or it was
+    /// made a short time ago.
+    fn state(&mut self, statement: PartStatement, now: Millis) {
+        if self.is_stated(statement, now) {
+            return;
+        }
+        let delay = statement_delay(self.fleet_size, self.random.random());
+        self.statements.entry(statement).or_insert(now + delay);
+        self.release_statements(now);
+    }
+
+    /// Whether a statement was made a short time ago, by this instance or another.
+    fn is_stated(&self, statement: PartStatement, now: Millis) -> bool {
+        let is_fresh = |at: &Millis| now.saturating_sub(*at) < STATEMENT_INTERVAL;
+        self.stated_at.get(&statement).is_some_and(is_fresh)
+    }
+
+    /// Records that a statement was made, by this instance or another.
+    fn heard(&mut self, statement: PartStatement, now: Millis) {
+        self.statements.remove(&statement);
+        self.stated_at.insert(statement, now);
+    }
+
     /// Number of crashes known for a request, and time since the last one in milliseconds.
     #[must_use]
     pub fn crashes(&self, fingerprint: Fingerprint, now: Millis) -> (usize, Millis) {
@@ -263,13 +340,21 @@
             }
             CrashNotice::Served(served) => self.record_served(served, now),
             CrashNotice::Written(parts) => {
+                for part in parts {
+                    self.heard(PartStatement::Written(*part), now);
+                }
                 self.parts.record_written(parts, now);
                 true
             }
             CrashNotice::Blamed(part) => {
+                if !self.is_stated(PartStatement::Blamed(*part), now) {
+                    // Evidence that was shared before is not known to cover this verdict.
+                    self.stated_at.remove(&PartStatement::Written(*part));
+                }
+                self.heard(PartStatement::Blamed(*part), now);
                 let is_agreed = self.parts.record_verdict(*part, now);
                 if !is_agreed {
-                    self.share(CrashNotice::Written(vec![*part]), now);
+                    self.state(PartStatement::Written(*part), now);
                 }
                 is_agreed
             }
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -56,6 +56,11 @@
 
     /// How many times a steward was lost.
     fn steward_losses(&self) -> u64;
+
+    /// Number of known instances of the fleet, this one included.
+    fn fleet_size(&self) -> usize {
+        1
+    }
 }
 
 /// Owner number of the runs of the instance that runs the dispatcher.
--- a/crates/relay/src/placement_router/mod.rs
+++ b/crates/relay/src/placement_router/mod.rs
@@ -294,4 +294,8 @@
     fn steward_losses(&self) -> u64 {
         self.steward_losses.get()
     }
+
+    fn fleet_size(&self) -> usize {
+        self.membership.borrow().len()
+    }
 }
