Give late prompts the engine time that nothing on time needs

Cause: a long prompt that had missed its target was placed only if its first event came within 1.5 times what idle engines would take; else it waited until it was refused.

Change: while no request that can be in time is queued ahead, a late prompt takes any placement that fits its deadline (QueueContention).

Test: late_prompt_takes_the_engine_time_that_nothing_on_time_needs (failed before: not granted).

--- a/crates/policy/src/dispatch/limits.rs
+++ b/crates/policy/src/dispatch/limits.rs
@@ -64,8 +64,9 @@
     /// must be expected for a placement to be accepted; otherwise the request stays queued for a
     /// better one.
     pub accept_share: f64,
-    /// The same bound for a request that has missed its target, as a multiple of the time to the
-    /// first event when as many idle engines as possible share the prefill.
+    /// The same bound for a request that has missed its target while others that can still be in
+    /// time are queued, as a multiple of the time to the first event when as many idle engines as
+    /// possible share the prefill.
     pub late_accept: f64,
     /// Weight of the waiting time in the order of the queue: the prefill time of a request that has
     /// waited for `n` times its first-event target is divided by `1 + n * aging_weight`.
--- a/crates/policy/src/dispatch/pool_dispatcher.rs
+++ b/crates/policy/src/dispatch/pool_dispatcher.rs
@@ -12,7 +12,7 @@
     PlacementRequest, RunKey, RunOutcome, RunPhase, RunReport,
 };
 use super::prefill_queue::{PrefillShare, QueuedPart};
-use super::queued_request::{QueueClass, QueuedRequest};
+use super::queued_request::{QueueClass, QueueContention, QueuedRequest};
 use super::search::{HelperPlan, PausePolicy, PlacementPlan, PlacementSearch};
 use crate::cast::{f64_to_u64, u64_to_f64, usize_to_f64};
 use crate::ids::{EndpointId, Millis};
@@ -44,6 +44,18 @@
     count: usize,
     /// Sum of their prefill times, in milliseconds.
     prefill_ms: f64,
+    /// How many of them can still be in time.
+    on_time: usize,
+}
+
+impl QueuedAhead {
+    fn contention(&self) -> QueueContention {
+        if self.on_time > 0 {
+            QueueContention::OnTimeQueued
+        } else {
+            QueueContention::LateOnly
+        }
+    }
 }
 
 /// A run that has ended.
@@ -239,6 +251,9 @@
                 continue;
             }
             ahead.count += 1;
+            if queued.class(limits, now) != QueueClass::Late {
+                ahead.on_time += 1;
+            }
             ahead.prefill_ms += queued.prefill_ms;
             self.queued.push(queued);
         }
@@ -287,7 +302,9 @@
             None
         };
         let ideal_ms = self.ideal_ms(queued, engines);
-        let plan = plan.filter(|plan| queued.accepts(limits, plan.first_event_ms, ideal_ms, now));
+        let contention = ahead.contention();
+        let plan = plan
+            .filter(|plan| queued.accepts(limits, plan.first_event_ms, ideal_ms, contention, now));
         if let Some(plan) = plan {
             rates.take(&self.endpoints[plan.host].info.target.endpoint, now);
             return Some(PlacementDecision::Granted(self.commit(
--- a/crates/policy/src/dispatch/queued_request.rs
+++ b/crates/policy/src/dispatch/queued_request.rs
@@ -39,6 +39,15 @@
     Late,
 }
 
+/// Which requests a queued request competes with for engine time.
+#[derives::tag]
+pub(super) enum QueueContention {
+    /// Requests that can still be in time are queued ahead of it.
+    OnTimeQueued,
+    /// Only requests that have missed their targets are queued.
+    LateOnly,
+}
+
 impl QueuedRequest {
     /// Time that the request has waited, over all its attempts.
     pub(super) fn waited(&self, now: Millis) -> Millis {
@@ -71,12 +80,14 @@
     /// Whether to accept a placement whose first event is expected in `first_event_ms`.
     ///
     /// `ideal_ms` is the time until the first event when as many idle engines as possible share the
-    /// prefill.
+    /// prefill. A request that has missed its target takes what engine time is left: any placement
+    /// that ends before its deadline, unless requests that can still be in time are queued.
     pub(super) fn accepts(
         &self,
         limits: &DispatchLimits,
         first_event_ms: f64,
         ideal_ms: f64,
+        contention: QueueContention,
         now: Millis,
     ) -> bool {
         match self.class(limits, now) {
@@ -86,7 +97,12 @@
                 let time_left = u64_to_f64(target.saturating_sub(self.waited(now)));
                 first_event_ms <= time_left * limits.accept_share
             }
-            QueueClass::Late => first_event_ms <= ideal_ms * limits.late_accept,
+            QueueClass::Late => {
+                let last_start_ms = u64_to_f64(self.time_left(now)) * limits.latest_start;
+                let is_spare =
+                    contention == QueueContention::LateOnly && first_event_ms <= last_start_ms;
+                is_spare || first_event_ms <= ideal_ms * limits.late_accept
+            }
         }
     }
 
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -745,3 +745,46 @@
         .collect();
     assert!(!names.contains(&"engine-1"), "{names:?}");
 }
+
+/// A burst of long prompts has passed its peak: one engine still prefills, the other is idle, and
+/// prompts that have missed their targets are queued.
+#[test]
+fn late_prompt_takes_the_engine_time_that_nothing_on_time_needs() {
+    struct Case {
+        name: &'static str,
+        /// Prompt that can still be in time and waits for its placement.
+        queued: Option<PlacementRequest>,
+        is_granted: bool,
+    }
+    let cases = [
+        Case {
+            name: "nothing else is queued",
+            queued: None,
+            is_granted: true,
+        },
+        Case {
+            name: "a prompt that can still be in time is queued",
+            queued: Some(request(320_000, 3_000, 1_000, 30_000)),
+            is_granted: false,
+        },
+    ];
+    for case in cases {
+        let limits = DispatchLimits {
+            most_splits: 2,
+            ..DispatchLimits::default()
+        };
+        let mut dispatcher = dispatcher_with(2, limits);
+        grant(&mut dispatcher, 0, long(120_000), 0);
+        if let Some(queued) = case.queued {
+            let decision = decide(&mut dispatcher, 10, queued, 1);
+            assert!(decision.is_none(), "{}: {decision:?}", case.name);
+        }
+        let late = PlacementRequest {
+            waited: 4_000,
+            ..request(260_000, 3_000, 1_000, 20_000)
+        };
+        let decision = decide(&mut dispatcher, 11, late, 2);
+        let is_granted = matches!(decision, Some(PlacementDecision::Granted(_)));
+        assert_eq!(is_granted, case.is_granted, "{}: {decision:?}", case.name);
+    }
+}
