Serve before the crash notices of the store have been read

Cause: an instance that starts read all keys at once, crash notices included.

Probers of an unavailable store wait for at most 300 ms: with 500, endpoint_removed_during_a_store_outage_is_dropped_after_recovery failed once (its bound of 2.7 s stays).

--- a/crates/platform/src/key_value.rs
+++ b/crates/platform/src/key_value.rs
@@ -1,5 +1,6 @@
 //! The interface of the platform's key-value service and instance list, as a trait.
 
+use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use policy::ids::Incarnation;
 
@@ -72,6 +73,16 @@
     },
 }
 
+impl WatchEvent {
+    /// Name of the key.
+    #[must_use]
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put { key, .. } | Self::Deleted { key, .. } => key,
+        }
+    }
+}
+
 /// The changes that a watch returned.
 #[derives::value]
 pub struct WatchReport {
@@ -152,6 +163,16 @@
         wait: u64,
     ) -> PlatformFuture<'a, WatchReport>;
 
+    /// Reads the present content of the keys that sort after `after`.
+    fn read_after<'a>(&'a self, after: &'a str) -> PlatformFuture<'a, WatchReport> {
+        async move {
+            let mut report = self.watch("", 0, 0).await?;
+            report.events.retain(|event| event.key() > after);
+            Ok(report)
+        }
+        .boxed_local()
+    }
+
     /// Reads the instance list.
     fn instances(&self) -> PlatformFuture<'_, Vec<ListedInstance>>;
 }
--- a/crates/relay/src/forwarded_store.rs
+++ b/crates/relay/src/forwarded_store.rs
@@ -270,16 +270,18 @@
         self.source.clone()
     }
 
-    async fn watch_direct(
-        &self,
-        prefix: &str,
-        revision: u64,
-        wait: u64,
-    ) -> Result<WatchReport, KeyValueError> {
-        let report = self.direct.watch(prefix, revision, wait).await;
+    async fn watch_direct(&self, revision: u64, wait: u64) -> Result<WatchReport, KeyValueError> {
+        let report = self.direct.watch("", revision, wait).await;
+        self.record_direct(revision, &report);
+        report
+    }
+
+    /// Passes the answer to a call of the store, which asked for the changes after `revision`, on to
+    /// the followers; revision zero stands for the present content.
+    fn record_direct(&self, revision: u64, report: &Result<WatchReport, KeyValueError>) {
         {
             let mut buffer = self.source.state.buffer.borrow_mut();
-            match &report {
+            match report {
                 Ok(report) if revision == 0 => buffer.restart(report.revision),
                 // While another reader was used, this buffer missed changes.
                 Ok(report) if buffer.current != revision => {
@@ -291,7 +293,6 @@
             }
         }
         self.source.state.changed.notify_waiters();
-        report
     }
 
     /// Watches as a follower: through a reader, or directly if no reader can be asked. While readers
@@ -317,7 +318,7 @@
             }
             tokio::time::sleep(READER_ROUND_PAUSE).await;
         }
-        let report = self.watch_direct("", revision, wait).await;
+        let report = self.watch_direct(revision, wait).await;
         match &report {
             Ok(_) => {
                 self.follower_delay.borrow_mut().reset();
@@ -463,7 +464,10 @@
         async move {
             // Readers forward the changes of all keys, so a watch with a prefix goes to the store
             // directly.
-            if revision > 0 && prefix.is_empty() && !self.router.is_reader() {
+            if !prefix.is_empty() {
+                return self.direct.watch(prefix, revision, wait).await;
+            }
+            if revision > 0 && !self.router.is_reader() {
                 return self.watch_following(revision, wait).await;
             }
             let wait = if self.router.reads_for_others() {
@@ -471,7 +475,16 @@
             } else {
                 wait
             };
-            self.watch_direct(prefix, revision, wait).await
+            self.watch_direct(revision, wait).await
+        }
+        .boxed_local()
+    }
+
+    fn read_after<'a>(&'a self, after: &'a str) -> PlatformFuture<'a, WatchReport> {
+        async move {
+            let report = self.direct.read_after(after).await;
+            self.record_direct(0, &report);
+            report
         }
         .boxed_local()
     }
--- a/crates/relay/src/store_outage.rs
+++ b/crates/relay/src/store_outage.rs
@@ -87,7 +87,7 @@
 pub fn prober_delay() -> RetryDelay {
     RetryDelay::new(DelayRange {
         shortest: 150,
-        longest: 500,
+        longest: 300,
     })
 }
 
