Estimate what a clairvoyant schedule of a load reaches

It tells on every load what is left to win; passes, slots and splits are ignored, so no dispatcher reaches it.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -58,6 +58,9 @@
     /// Number of simulations per policy; their seeds are 1, 2, and so on.
     #[arg(long, default_value_t = 5)]
     pub(crate) seeds: u64,
+    /// Also estimate what a schedule reaches that knows all arrivals beforehand.
+    #[arg(long)]
+    pub(crate) clairvoyant: bool,
     /// File to which the results of each seed are written as JSON.
     #[arg(long)]
     pub(crate) json: Option<PathBuf>,
--- a/crates/cli/src/experiment.rs
+++ b/crates/cli/src/experiment.rs
@@ -3,6 +3,7 @@
 use std::fs;
 
 use anyhow::Context;
+use model::clairvoyant::clairvoyant;
 use model::report::{ExperimentReport, report, table};
 use model::{LoadExperiment, LoadFile};
 use policy::dispatch::DispatchLimits;
@@ -40,6 +41,19 @@
             reports,
         });
     }
+    if args.clairvoyant {
+        let estimates: Vec<ExperimentReport> = (1..=args.seeds)
+            .map(|seed| {
+                let outcome = LoadExperiment::new(&load, DispatchLimits::default(), seed).run();
+                report(
+                    &load,
+                    &clairvoyant(&load, &outcome.records),
+                    outcome.use_share,
+                )
+            })
+            .collect();
+        print!("{}", table("clairvoyant", &estimates));
+    }
     if let Some(file) = &args.json {
         let text = serde_json::to_string_pretty(&all)?;
         fs::write(file, text).with_context(|| format!("cannot write {}", file.display()))?;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,6 +5,7 @@
 //! come from the dispatcher of the `policy` crate, driven by virtual time, so the result of a
 //! simulation depends only on its load, its dispatch limits and its seed.
 
+pub mod clairvoyant;
 pub mod engine;
 pub mod experiment;
 pub mod load;
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -82,7 +82,8 @@
             && self.longest_pause <= u64_to_f64(kind.pause_aim)
     }
 
-    fn weight(&self, kind: &RequestKind) -> f64 {
+    /// Worth of the request as a multiple of that of a prompt of mean length.
+    pub(crate) fn weight(&self, kind: &RequestKind) -> f64 {
         let size = u64_to_f64(self.prompt_tokens) / kind.prompt_tokens.mean;
         (BASE_WEIGHT + (1.0 - BASE_WEIGHT) * size).min(MAX_WEIGHT)
     }
