--- a/crates/policy/src/statement_delay.rs
+++ b/crates/policy/src/statement_delay.rs
@@ -10,10 +10,14 @@
 use crate::cast::{f64_to_u64, u64_to_f64, usize_to_f64};
 use crate::ids::Millis;
 
-/// Longest time for which a statement waits, in milliseconds: about twice the time in which a
-/// statement reaches the other instances through the store.
+/// Longest time for which a statement waits in a large fleet, in milliseconds: about twice the time
+/// in which a statement reaches the other instances through the store.
 pub const LONGEST_STATEMENT_DELAY: Millis = 1_500;
 
+/// Share of the longest delay for each instance of the fleet, in milliseconds: where few can make a
+/// statement, waiting spares little and delays a quarantine.
+const DELAY_PER_INSTANCE: Millis = 25;
+
 /// Time after a statement in which the same statement is not made again, in milliseconds.
 pub const STATEMENT_INTERVAL: Millis = 3_000;
 
@@ -24,6 +28,7 @@
     if instances <= 1 {
         return 0;
     }
+    let longest = LONGEST_STATEMENT_DELAY.min(instances as Millis * DELAY_PER_INSTANCE);
     let share = 1.0 + draw.max(f64::MIN_POSITIVE).ln() / usize_to_f64(instances).ln();
-    f64_to_u64(u64_to_f64(LONGEST_STATEMENT_DELAY) * share.max(0.0))
+    f64_to_u64(u64_to_f64(longest) * share.max(0.0))
 }
