--- a/review/common/kit.rs
+++ b/review/common/kit.rs
@@ -411,6 +411,11 @@
         self.silences.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Lets all open connections fall silent for good; new ones work.
+    pub fn silence_connections(&self) {
+        self.silences.fetch_add(1, Ordering::SeqCst);
+    }
+
     pub fn come_back(&self) {
         self.away.store(false, Ordering::SeqCst);
         self.silent.store(false, Ordering::SeqCst);
