--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,5 +1,6 @@
-//! The platform's store is silent for a second and comes back from a copy three seconds old. A
-//! configuration that is acknowledged a second later has to take effect at every instance.
+//! The platform's store comes back from a copy some seconds old, soon after some instances were
+//! restarted. A configuration that is acknowledged when all is calm again has to take effect at
+//! every instance.
 
 #[path = "../common/kit.rs"]
 mod kit;
@@ -8,21 +9,23 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+const ZONE: &str = "zone-a";
 const HOST: &str = "shop.example";
-/// Instances, two in each zone.
-const RELAYS: usize = 6;
+/// Instances, all in one zone, and how many of them are restarted.
+const RELAYS: usize = 10;
+const RESTARTED: usize = 4;
 /// Workers of each of the two services.
-const WORKERS: usize = 13;
+const WORKERS: usize = 4;
 const BEAT_MS: u64 = 1_200;
-/// Age of the copy from which the store comes back, and how long it is away.
-const COPY_AGE: Duration = Duration::from_secs(3);
-const AWAY_MS: u64 = 1_000;
+/// From the first SIGTERM to the drill, the age of the copy, and how long the store is away.
+const DRILL_AFTER_MS: u64 = 5_500;
+const COPY_AGE: Duration = Duration::from_millis(6_500);
+const AWAY_MS: u64 = 300;
 /// From the store's return to the operator's next configuration.
-const CHANGE_AFTER_MS: u64 = 1_000;
-/// From the acknowledgement to the first request that is judged: `stableMs` 3,000, `configMs`
-/// 2,000 and `skewMaxMs` 5,000 together, and two seconds more.
-const JUDGED_AFTER_MS: u64 = 12_000;
+const CHANGE_AFTER_MS: u64 = 6_000;
+/// From the acknowledgement to the first request that is judged: `stableMs` 4,000, `configMs`
+/// 3,000 and `skewMaxMs` 6,000 together make 13 s.
+const JUDGED_AFTER_MS: u64 = 14_000;
 
 fn config(version: u64, service: &str, keys: &str) -> String {
     format!(
@@ -41,28 +44,28 @@
     let record = Record::new(&std::env::args().nth(1).expect("path of the record"));
     let folder = Folder::new("1");
     let runs: Runs = Arc::new(Mutex::new(Vec::new()));
+    STABLE_MS.store(4_000, std::sync::atomic::Ordering::SeqCst);
     let store = Store::start();
     let mut workers = Vec::new();
     for number in 0..WORKERS {
         for service in ["old", "new"] {
             let worker = Worker::plain(&format!("i-{service}-{number}"), service, 60, &runs);
-            worker.beat(&store, ZONES[number % 3]);
+            worker.beat(&store, ZONE);
+            worker.run_beats(&store, ZONE, BEAT_MS, number as u64 * 300);
             workers.push(worker);
         }
     }
-    for (number, worker) in workers.iter().enumerate() {
-        let offset = number as u64 * BEAT_MS / workers.len() as u64;
-        worker.run_beats(&store, ZONES[number / 2 % 3], BEAT_MS, offset);
+    store.put("op/config", &config(7, "old", "\"key-one\",\"key-two\""));
+    let mut relays: Vec<Relay> = Vec::new();
+    for number in 0..RELAYS {
+        relays.push(Relay::start(&format!("relay-{number}"), ZONE, store.server.address, &folder.0));
+        sleep_ms(100);
     }
-    let first = config(7, "old", "\"key-one\",\"key-two\"");
-    store.put("op/config", &first);
-    let start = |number| Relay::start(&format!("relay-{number}"), ZONES[number % 3], store.server.address, &folder.0);
-    let relays: Vec<Relay> = (0..RELAYS).map(start).collect();
     if !relays.iter().all(|relay| relay.wait_ready(Duration::from_secs(20))) {
         finish(&record, relays, folder, 2, "the instances did not become ready");
     }
     record.line("all instances are ready; version 7 is in force");
-    sleep_ms(10_000);
+    sleep_ms(8_000);
     let send = |relay: &Relay, id: &str, key: &str| {
         let request = Call {
             method: "POST", path: "/a/2f", host: HOST, id, key, deadline_ms: 3_000,
@@ -77,18 +80,31 @@
             finish(&record, relays, folder, 2, "a request before the disruption was not served");
         }
     }
+    // Planned work: the last instances are restarted.
+    let first_stop = Instant::now();
+    for relay in &relays[RELAYS - RESTARTED..] {
+        record.line(&format!("{} gets SIGTERM", relay.name));
+        relay.signal("-TERM");
+        sleep_ms(200);
+    }
+    for relay in &mut relays[RELAYS - RESTARTED..] {
+        while !relay.has_ended() {
+            sleep_ms(20);
+        }
+        relay.spawn();
+    }
+    if !relays.iter().all(|relay| relay.wait_ready(Duration::from_secs(10))) {
+        finish(&record, relays, folder, 2, "an instance did not become ready after its restart");
+    }
+    record.line(&format!("all instances are ready again, {} ms after the first SIGTERM", first_stop.elapsed().as_millis()));
+    sleep_until(first_stop + Duration::from_millis(DRILL_AFTER_MS));
     if trouble() {
-        store.server.fall_silent();
-        let (lost, kept) = store.restore_copy(COPY_AGE);
-        record.line(&format!("the store falls silent; it had revision {lost}, its copy has {kept}"));
+        store.server.leave();
+        let (lost, kept, back) = store.restore_copy(COPY_AGE);
+        record.line(&format!("the store is away; it had revision {lost}, its copy has {kept}, {back} with what is written again"));
         sleep_ms(AWAY_MS);
         store.server.come_back();
-        // What the operator and the workers wrote is written again.
-        store.put("op/config", &first);
-        for (number, worker) in workers.iter().enumerate() {
-            worker.beat(&store, ZONES[number / 2 % 3]);
-        }
-        record.line(&format!("the store is back with era 2, revision {}", store.revision()));
+        record.line("the store is back with era 2");
     }
     sleep_ms(CHANGE_AFTER_MS);
     let revision = store.put("op/config", &config(12, "new", "\"key-one\""));
@@ -112,13 +128,13 @@
                 }
             }
         }
-        sleep_ms(1_000);
+        sleep_ms(500);
     }
     for relay in &relays {
         record.line(&format!("{} says version {}", relay.name, relay.metric("jackdawpoint_relay_config_version")));
     }
     let text = format!(
-        "{wrong} of {} requests sent 12 s and more after the acknowledgement were run by the old service or with the removed key, at {} of {RELAYS} instances ({})",
+        "{wrong} of {} requests sent {JUDGED_AFTER_MS} ms and more after the acknowledgement were run by the old service or with the removed key, at {} of {RELAYS} instances ({})",
         20 * RELAYS, stale.len(), stale.join(", ")
     );
     let code = i32::from(wrong > 0);
--- a/review/common/kit.rs
+++ b/review/common/kit.rs
@@ -6,6 +6,7 @@
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -722,23 +723,37 @@
         self.server.away.load(Ordering::SeqCst) || self.server.silent.load(Ordering::SeqCst)
     }
 
-    /// Puts the store into the state that it had `age` ago, as a new era. Call it while away.
-    pub fn restore_copy(&self, age: Duration) -> (u64, u64) {
+    /// Puts the store into the state that it had `age` ago, as a new era. What the operator and the
+    /// workers have written since is written again, in its order; what the system has written is
+    /// gone, leases too. Call it while the store is away. Returns the revision before, that of the
+    /// copy, and the one after the repeated writes.
+    pub fn restore_copy(&self, age: Duration) -> (u64, u64, u64) {
         let copies = self.copies.lock().unwrap();
         let wanted = Instant::now().checked_sub(age).unwrap();
         let copy = copies.iter().rev().find(|(at, _)| *at <= wanted).or_else(|| copies.first());
         let (taken_at, copy) = copy.expect("a copy").clone();
         let mut state = self.state.lock().unwrap();
-        let lost = state.revision;
-        let era = state.era + 1;
+        let before = state.clone();
         *state = copy;
-        state.era = era;
-        // The leases of the copy run on from its return.
+        state.era = before.era + 1;
+        // The leases of the copy pause while the store is away and older than it was.
         let pause = taken_at.elapsed();
         for (_, end) in state.leases.values_mut() {
             *end += pause;
         }
-        (lost, state.revision)
+        let kept = state.revision;
+        for change in before.history.iter().filter(|change| change.rev > kept) {
+            if !change.key.starts_with("op/") && !change.key.starts_with("servers/") {
+                continue;
+            }
+            match &change.item {
+                Some(item) => {
+                    state.put(&change.key, &item.value, &item.other, 0);
+                }
+                None => state.remove(&change.key),
+            }
+        }
+        (before.revision, kept, state.revision)
     }
 }
 
@@ -767,6 +782,8 @@
     born: u64,
     seq: AtomicU64,
     beats: AtomicBool,
+    /// State in the entry that was written last.
+    written: Mutex<String>,
     /// Address that the second listener of the store shows.
     pub other_address: Mutex<Option<SocketAddr>>,
 }
@@ -826,6 +843,7 @@
             born: unix_ms(),
             seq: AtomicU64::new(0),
             beats: AtomicBool::new(true),
+            written: Mutex::default(),
             other_address: Mutex::new(None),
         })
     }
@@ -834,10 +852,16 @@
         format!("servers/{}", self.id)
     }
 
-    /// Writes the worker's entry as it is now.
+    /// Writes the worker's entry. An entry in which only `seq` would change does not change, so that
+    /// the store keeps its revision. Returns the store's revision.
     pub fn beat(&self, store: &Store, zone: &str) -> u64 {
+        let state = self.state.lock().unwrap().clone();
+        let mut written = self.written.lock().unwrap();
+        if *written == state {
+            return store.revision();
+        }
+        *written = state.clone();
         let seq = self.seq.fetch_add(1, Ordering::SeqCst) + 1;
-        let state = self.state.lock().unwrap();
         let entry = |address: SocketAddr| format!(
             "{{\"backend\":\"{}\",\"addr\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":6,\
              \"state\":\"{state}\",\"coldLeftMs\":0,\"seq\":{seq},\"born\":{}}}",
@@ -981,6 +1005,13 @@
 /// The bound `stableMs` of the settings, in milliseconds.
 pub static STABLE_MS: AtomicU64 = AtomicU64::new(3_000);
 
+unsafe extern "C" {
+    fn prctl(option: i32, argument: u64) -> i32;
+}
+
+/// `PR_SET_PDEATHSIG` and `SIGKILL` of Linux: the child ends with the process that started it.
+const END_WITH_PARENT: (i32, u64) = (1, 9);
+
 pub struct Relay {
     pub name: String,
     pub callers: SocketAddr,
@@ -1022,7 +1053,15 @@
 
     pub fn spawn(&mut self) {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log).unwrap();
-        let child = Command::new("target/release/jackdawpoint-relay")
+        let mut command = Command::new("target/release/jackdawpoint-relay");
+        // SAFETY: `prctl` is called between fork and exec, and touches nothing but the child.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(END_WITH_PARENT.0, END_WITH_PARENT.1);
+                Ok(())
+            });
+        }
+        let child = command
             .env("JACKDAWPOINT_BOOT", &self.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
