Log what the store's views rest on: its era, declined followers, their delays, hosted tunnels

Change: the client of the store reads Store-Era of every answer and logs a rise or a fall; readers log why they decline (once a cause), followers the delay until their own call, hosts the endpoint and whether it has departed, the watcher the era and revision of each full read. New gauge jackdawpoint_relay_store_era. No decision changes. Ruled out: a line for each declined request (28 followers ask several times a second).

--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -34,6 +34,8 @@
     pub store_watches: IntCounter,
     /// Failed watches of the platform's store.
     pub failed_store_watches: IntCounter,
+    /// Era of the platform's store; zero if it states none.
+    pub store_era: IntGauge,
     /// How many times a steward was lost.
     pub steward_losses: IntGauge,
     /// Tunnels to endpoints opened through other instances.
@@ -86,6 +88,7 @@
             endpoints: gauge(&registry, "endpoints", "Endpoints believed in."),
             store_watches: counter(&registry, "store_watches_total", "Watches of the store."),
             failed_store_watches: counter(&registry, "store_faults_total", "Watches that failed."),
+            store_era: gauge(&registry, "store_era", "Era of the store."),
             steward_losses: gauge(&registry, "steward_losses_total", "Stewards lost."),
             opened_tunnels: gauge(&registry, "opened_tunnels_total", "Tunnels opened."),
             hosted_tunnels: counter(
--- a/crates/relay/src/forwarded_store.rs
+++ b/crates/relay/src/forwarded_store.rs
@@ -122,17 +122,40 @@
     budget: RefCell<ForwardingBudget>,
     clock: BootClock,
     changed: Notify,
+    /// Why the last request of a follower was declined; `None` if it was answered.
+    declined: Cell<Option<DeclineCause>>,
+}
+
+/// Why a reader declines a follower's request.
+#[derives::tag]
+enum DeclineCause {
+    /// The store has not answered this instance lately.
+    NotCurrent,
+    /// The changes after the follower's revision are no longer buffered.
+    HistoryLost,
+    /// The link has no budget left for the changes.
+    LinkBudget,
 }
 
 impl SourceState {
     /// Takes the size of `changes` from the forwarding budget; false if the budget is too low.
     fn try_spend_budget(&self, changes: &[StoreChange]) -> bool {
         let bytes = changes.iter().map(StoreChange::size).sum();
-        let has_budget = self.budget.borrow_mut().take(bytes, self.clock.now());
-        if !has_budget {
-            spdlog::info!("changes not forwarded", kv: { bytes = bytes, cause = "link budget" });
+        self.budget.borrow_mut().take(bytes, self.clock.now())
+    }
+
+    /// Logs a declined request, unless the last one was declined for the same cause.
+    fn log_declined(&self, cause: DeclineCause, after: u64) {
+        if self.declined.replace(Some(cause)) == Some(cause) {
+            return;
         }
-        has_budget
+        let buffer = self.buffer.borrow();
+        spdlog::info!("changes not forwarded", kv: {
+            cause:? = cause,
+            after = after,
+            buffered_from = buffer.start,
+            current = buffer.current,
+        });
     }
 }
 
@@ -154,6 +177,7 @@
                 budget: RefCell::new(budget),
                 clock,
                 changed: Notify::new(),
+                declined: Cell::new(None),
             }),
         }
     }
@@ -169,16 +193,23 @@
                 let notified = source.changed.notified();
                 {
                     let buffer = source.buffer.borrow();
-                    let current_until = buffer.current_until()?;
-                    if after < buffer.start || Instant::now() >= current_until {
+                    let current_until = buffer.current_until();
+                    let Some(until) = current_until.filter(|until| Instant::now() < *until) else {
+                        source.log_declined(DeclineCause::NotCurrent, after);
+                        return None;
+                    };
+                    if after < buffer.start {
+                        source.log_declined(DeclineCause::HistoryLost, after);
                         return None;
                     }
-                    wake_at = deadline.min(current_until);
+                    wake_at = deadline.min(until);
                     let newer = buffer.after(after);
                     if !newer.is_empty() || Instant::now() >= deadline {
                         if !source.try_spend_budget(&newer) {
+                            source.log_declined(DeclineCause::LinkBudget, after);
                             return None;
                         }
+                        source.declined.set(None);
                         return Some(ChangeBatch {
                             revision: buffer.current.max(after),
                             changes: newer,
@@ -336,6 +367,7 @@
             .next_delay(&mut self.follower_delay.borrow_mut());
         let delay = Millis::try_from(delay.as_millis()).unwrap_or(Millis::MAX);
         self.direct_after.set(self.clock.now() + delay);
+        spdlog::info!("store left to the readers", kv: { delay = delay });
     }
 
     async fn watch_reader(&self, revision: u64) -> ReaderRound {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 mod request;
 mod reservation;
 mod server;
+mod store_era;
 mod store_outage;
 mod stream;
 mod tunnel_host;
@@ -51,5 +52,6 @@
     MemoryClient, MemoryReservation, ReleaseOutcome, ReserveOutcome, reservation_ttl,
 };
 pub use crate::server::{bind, serve_callers, serve_probes};
+pub use crate::store_era::{EraChange, StoreEra};
 pub use crate::store_outage::{StoreOutage, informed_delay, prober_delay};
 pub use crate::tunnel_host::EndpointTunnelHost;
--- a/crates/relay/src/tunnel_host.rs
+++ b/crates/relay/src/tunnel_host.rs
@@ -76,6 +76,10 @@
         let others = self.core.other_targets(&endpoint, CONTACT_COUNT);
         let stream = connector.connect_for_peer(&target, &others).await?;
         self.core.counters().hosted_tunnels.inc();
+        spdlog::info!("tunnel hosted", kv: {
+            endpoint = endpoint.as_str(),
+            departed = self.core.is_departed(&endpoint),
+        });
         Ok(TunnelTarget {
             stream,
             guard: Box::new(guard),
