--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -411,6 +411,7 @@
             SoakFault::Leave(endpoint) => {
                 self.register(endpoint, "draining");
                 tokio::time::sleep(length).await;
+                self.endpoints[endpoint].restart();
                 self.register(endpoint, "ready");
             }
             SoakFault::Cut(scope, mode) => {
