--- a/crates/entry/src/announcements.rs
+++ b/crates/entry/src/announcements.rs
@@ -13,6 +13,7 @@
     Announcement, LeavingKind, LeavingStatus, LeavingSubject, LeavingTable, TableChange,
 };
 use policy::poison::CrashReport;
+use policy::store_position::StorePosition;
 
 use crate::control::Control;
 use crate::lifecycle::drain_instance;
@@ -59,7 +60,11 @@
     async fn read_announcements(self: &Rc<Self>, revision: u64) -> Option<u64> {
         self.tables.metrics.platform_calls.inc();
         let platform = &self.ports.platform;
-        let watch = platform.watch(ANNOUNCEMENT_PREFIX, revision, WATCH_WAIT);
+        let watch = platform.watch(
+            ANNOUNCEMENT_PREFIX,
+            StorePosition::without_era(revision),
+            WATCH_WAIT,
+        );
         let Ok(report) = watch.await else {
             self.tables.metrics.platform_faults.inc();
             return None;
@@ -72,7 +77,7 @@
         if self.record_announcements(&announcements) == TableChange::Changed {
             self.broadcast_announcements().await;
         }
-        Some(report.revision.max(1))
+        Some(report.position.revision.max(1))
     }
 
     /// Writes an announcement to the key-value service, unless the stored one is the same or newer.
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -8,6 +8,7 @@
 use policy::ids::{Incarnation, InstanceId, Millis, PoolId};
 use policy::leaving::TableChange;
 use policy::steward::steward_of;
+use policy::store_position::StorePosition;
 use policy::template::{CONFIG_PREFIX, ConfigBody, ConfigDocument};
 
 use crate::control::Control;
@@ -126,10 +127,11 @@
     /// revision to continue from, or `None` if the platform did not answer.
     pub(crate) async fn read_changes(self: &Rc<Self>, revision: u64) -> Option<u64> {
         self.tables.metrics.platform_calls.inc();
-        let watch = self
-            .ports
-            .platform
-            .watch(CONFIG_PREFIX, revision, WATCH_WAIT);
+        let watch = self.ports.platform.watch(
+            CONFIG_PREFIX,
+            StorePosition::without_era(revision),
+            WATCH_WAIT,
+        );
         let Ok(report) = watch.await else {
             self.tables.metrics.platform_faults.inc();
             return None;
@@ -150,7 +152,7 @@
         if self.apply_documents(&documents) == TableChange::Changed {
             self.push_documents(&documents).await;
         }
-        Some(report.revision.max(1))
+        Some(report.position.revision.max(1))
     }
 
     /// Sends documents to the other members of the failure domain, which apply them.
--- a/crates/entry/src/order_lease.rs
+++ b/crates/entry/src/order_lease.rs
@@ -86,7 +86,10 @@
             Ok(CasOutcome::Written(revision)) => Some(revision),
             Ok(CasOutcome::Conflict(_))
             | Err(
-                KeyValueError::Unreachable | KeyValueError::Refused | KeyValueError::HistoryLost,
+                KeyValueError::Unreachable
+                | KeyValueError::Refused
+                | KeyValueError::HistoryLost
+                | KeyValueError::EarlierEra,
             ) => None,
             Err(KeyValueError::AnswerLost | KeyValueError::Unreadable) => {
                 self.tables.metrics.platform_faults.inc();
--- a/crates/entry/src/registration.rs
+++ b/crates/entry/src/registration.rs
@@ -5,6 +5,7 @@
 
 use platform::{CasOutcome, WatchEvent};
 use policy::ids::{Millis, OwnerId};
+use policy::store_position::StorePosition;
 
 use crate::configuration::FetchOutcome;
 use crate::control::Control;
@@ -56,7 +57,12 @@
     pub(crate) async fn registrations(&self) -> Option<Vec<(OwnerId, String)>> {
         self.tables.metrics.platform_calls.inc();
         let prefix = self.domain_prefix();
-        let report = self.ports.platform.watch(&prefix, 0, 0).await.ok()?;
+        let report = self
+            .ports
+            .platform
+            .watch(&prefix, StorePosition::START, 0)
+            .await
+            .ok()?;
         let registrations = report.events.into_iter().filter_map(|event| match event {
             WatchEvent::Put { stored, .. } => {
                 let registration: Registration = serde_json::from_str(&stored.value).ok()?;
--- a/crates/peer-schema/schema/dispatch.capnp
+++ b/crates/peer-schema/schema/dispatch.capnp
@@ -103,10 +103,12 @@
   # Begins a session and reports the runs that the instance has in flight.
   join @0 (instance :Text, held :List(Held)) -> (session :Session);
 
-  # Answers with the changes after a revision, as soon as there are any or after `waitMs`;
-  # `available` is false if the changes after that revision are not known.
-  changes @1 (after :UInt64, waitMs :UInt64)
-          -> (available :Bool, revision :UInt64, changes :List(Change));
+  # Answers with the changes after a revision of an era, as soon as there are any or after `waitMs`;
+  # `available` is false if the changes after that revision are not known, and `historyLost` is true
+  # if they will not be. An era of 0 is not stated.
+  changes @1 (after :UInt64, waitMs :UInt64, era :UInt64)
+          -> (available :Bool, revision :UInt64, changes :List(Change), era :UInt64,
+              historyLost :Bool);
 }
 
 interface Session {
--- a/crates/peer-schema/src/dispatch_capnp.rs
+++ b/crates/peer-schema/src/dispatch_capnp.rs
@@ -6058,6 +6058,10 @@
             pub fn get_wait_ms(self) -> u64 {
                 self.reader.get_data_field::<u64>(1)
             }
+            #[inline]
+            pub fn get_era(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
         }
 
         pub struct Builder<'a> {
@@ -6066,7 +6070,7 @@
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
-                    data: 2,
+                    data: 3,
                     pointers: 0,
                 };
         }
@@ -6170,6 +6174,14 @@
             pub fn set_wait_ms(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(1, value);
             }
+            #[inline]
+            pub fn get_era(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_era(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(2, value);
+            }
         }
 
         pub struct Pipeline {
@@ -6184,17 +6196,17 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(95, 81, 191, 105, 71, 144, 41, 247),
-                ::capnp::word(24, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(100, 105, 115, 112, 97, 116, 99, 104),
@@ -6202,21 +6214,28 @@
                 ::capnp::word(110, 115, 116, 97, 110, 99, 101, 46),
                 ::capnp::word(99, 104, 97, 110, 103, 101, 115, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6233,11 +6252,20 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6256,9 +6284,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
             pub(crate) const TYPE_ID: u64 = 0xf729_9047_69bf_515f;
         }
     }
@@ -6393,6 +6421,14 @@
             pub fn has_changes(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_era(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn get_history_lost(self) -> bool {
+                self.reader.get_bool_field(1)
+            }
         }
 
         pub struct Builder<'a> {
@@ -6401,7 +6437,7 @@
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
-                    data: 2,
+                    data: 3,
                     pointers: 1,
                 };
         }
@@ -6542,6 +6578,22 @@
             pub fn has_changes(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_era(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_era(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(2, value);
+            }
+            #[inline]
+            pub fn get_history_lost(self) -> bool {
+                self.builder.get_bool_field(1)
+            }
+            #[inline]
+            pub fn set_history_lost(&mut self, value: bool) {
+                self.builder.set_bool_field(1, value);
+            }
         }
 
         pub struct Pipeline {
@@ -6556,17 +6608,17 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 69] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 100] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(78, 197, 236, 231, 194, 81, 245, 184),
-                ::capnp::word(24, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(100, 105, 115, 112, 97, 116, 99, 104),
@@ -6574,28 +6626,42 @@
                 ::capnp::word(110, 115, 116, 97, 110, 99, 101, 46),
                 ::capnp::word(99, 104, 97, 110, 103, 101, 115, 36),
                 ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(85, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(141, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(165, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(97, 118, 97, 105, 108, 97, 98, 108),
                 ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
@@ -6626,12 +6692,31 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 105, 115, 116, 111, 114, 121, 76),
+                ::capnp::word(111, 115, 116, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <::capnp::struct_list::Owned<crate::dispatch_capnp::change::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6650,9 +6735,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 3, 4, 1];
             pub(crate) const TYPE_ID: u64 = 0xb8f5_51c2_e7ec_c54e;
         }
     }
--- a/crates/peer/src/change_link.rs
+++ b/crates/peer/src/change_link.rs
@@ -7,6 +7,7 @@
 use capnp::Error;
 use futures::future::LocalBoxFuture;
 use peer_schema::dispatch_capnp::{change, instance};
+use policy::store_position::StorePosition;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -36,20 +37,39 @@
     }
 }
 
-/// Changes of the store up to a revision.
+/// Changes of the store up to a position.
 #[derives::value]
 pub struct ChangeBatch {
-    /// Store revision up to which the changes are complete.
-    pub revision: u64,
+    /// Position up to which the changes are complete. Its era is zero if the reader is of a version
+    /// that knows no eras.
+    pub position: StorePosition,
     /// The changes, oldest first.
     pub changes: Vec<StoreChange>,
 }
 
+/// A reader's answer to a follower.
+#[derives::value]
+pub enum ChangeAnswer {
+    /// The changes after the follower's position.
+    Changes(ChangeBatch),
+    /// The reader is current in this era, and the changes after the follower's position are lost.
+    HistoryLost {
+        /// Era of the store as the reader has read it; zero if it states none.
+        era: u64,
+    },
+    /// The reader is not current, or has no budget left to forward the changes.
+    Declined,
+}
+
 /// Source of the latest changes of the platform's store, on a reader.
 pub trait ChangeHandler {
-    /// Returns the changes after a revision: as soon as there are any, or none after `wait`.
-    /// Returns `None` if the changes after that revision are not known, or not known to be current.
-    fn changes(&self, after: u64, wait: Duration) -> LocalBoxFuture<'static, Option<ChangeBatch>>;
+    /// Returns the changes after a position: as soon as there are any, or none after `wait`. The
+    /// era of a follower whose version knows no eras is zero.
+    fn changes(
+        &self,
+        after: StorePosition,
+        wait: Duration,
+    ) -> LocalBoxFuture<'static, ChangeAnswer>;
 }
 
 /// A connection to a reader; dropping it closes the connection.
@@ -75,38 +95,46 @@
         Ok(Self { client, task })
     }
 
-    /// Waits up to `wait` for changes after a revision; `None` if the reader does not know them.
+    /// Waits up to `wait` for changes after a position.
     ///
     /// # Errors
     ///
     /// Returns an error if no answer arrives in time or the connection fails.
     pub async fn changes(
         &self,
-        after: u64,
+        after: StorePosition,
         wait: Duration,
-    ) -> Result<Option<ChangeBatch>, PeerError> {
+    ) -> Result<ChangeAnswer, PeerError> {
         let mut request = self.client.changes_request();
-        request.get().set_after(after);
+        request.get().set_after(after.revision);
+        request.get().set_era(after.era);
         let millis = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         request.get().set_wait_ms(millis);
         let exchange = async {
             let answer = request.send().promise.await?;
-            read_batch(answer.get()?)
+            read_answer(answer.get()?)
         };
         match timeout(wait + ANSWER_SLACK, exchange).await {
-            Ok(Ok(batch)) => Ok(batch),
+            Ok(Ok(answer)) => Ok(answer),
             Ok(Err(_)) | Err(_) => Err(PeerError::AnswerLost),
         }
     }
 }
 
-fn read_batch(reader: instance::changes_results::Reader<'_>) -> Result<Option<ChangeBatch>, Error> {
+fn read_answer(reader: instance::changes_results::Reader<'_>) -> Result<ChangeAnswer, Error> {
+    let era = reader.get_era();
+    if reader.get_history_lost() {
+        return Ok(ChangeAnswer::HistoryLost { era });
+    }
     if !reader.get_available() {
-        return Ok(None);
+        return Ok(ChangeAnswer::Declined);
     }
     let changes = reader.get_changes()?.iter().map(read_change);
-    Ok(Some(ChangeBatch {
-        revision: reader.get_revision(),
+    Ok(ChangeAnswer::Changes(ChangeBatch {
+        position: StorePosition {
+            era,
+            revision: reader.get_revision(),
+        },
         changes: changes.collect::<Result<_, Error>>()?,
     }))
 }
@@ -123,15 +151,23 @@
     })
 }
 
-pub(crate) fn write_batch(
+pub(crate) fn write_answer(
     mut builder: instance::changes_results::Builder<'_>,
-    batch: Option<&ChangeBatch>,
+    answer: &ChangeAnswer,
 ) -> Result<(), Error> {
-    builder.set_available(batch.is_some());
-    let Some(batch) = batch else {
-        return Ok(());
+    let batch = match answer {
+        ChangeAnswer::Changes(batch) => batch,
+        // A version that does not know the reason reads that the changes are not available.
+        ChangeAnswer::HistoryLost { era } => {
+            builder.set_history_lost(true);
+            builder.set_era(*era);
+            return Ok(());
+        }
+        ChangeAnswer::Declined => return Ok(()),
     };
-    builder.set_revision(batch.revision);
+    builder.set_available(true);
+    builder.set_revision(batch.position.revision);
+    builder.set_era(batch.position.era);
     let mut list = builder.init_changes(list_length(batch.changes.len())?);
     for (index, change) in (0..list.len()).zip(&batch.changes) {
         let mut builder = list.reborrow().get(index);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -13,7 +13,7 @@
 mod tunnel_message;
 mod tunnel_server;
 
-pub use change_link::{ChangeBatch, ChangeHandler, ChangeLink, StoreChange};
+pub use change_link::{ChangeAnswer, ChangeBatch, ChangeHandler, ChangeLink, StoreChange};
 pub use dispatch_message::RunUpdate;
 pub use handler::{
     ApplyReport, DocumentBatch, PeerDigest, PeerFuture, PeerHandler, ProbeMessage, RelayOutcome,
--- a/crates/peer/src/steward_server.rs
+++ b/crates/peer/src/steward_server.rs
@@ -13,10 +13,11 @@
 use policy::dispatch::placement::{InFlightRun, PlacementDecision, PlacementRequest};
 use policy::ids::{EndpointId, InstanceId};
 use policy::rate_limit::PermitDecision;
+use policy::store_position::StorePosition;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
-use crate::change_link::{ChangeHandler, write_batch};
+use crate::change_link::{ChangeHandler, write_answer};
 use crate::dispatch_message::{
     RunUpdate, read_in_flight_run, read_placement_request, read_run_update,
     write_placement_decision,
@@ -102,8 +103,12 @@
     ) -> Result<(), Error> {
         let reader = params.get()?;
         let wait = Duration::from_millis(reader.get_wait_ms());
-        let batch = self.change_handler.changes(reader.get_after(), wait).await;
-        write_batch(results.get(), batch.as_ref())
+        let after = StorePosition {
+            era: reader.get_era(),
+            revision: reader.get_after(),
+        };
+        let answer = self.change_handler.changes(after, wait).await;
+        write_answer(results.get(), &answer)
     }
 
     async fn join(
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -5,6 +5,7 @@
 
 use futures::FutureExt;
 use ntex::http::{Method, StatusCode};
+use policy::store_position::StorePosition;
 use serde::de::DeserializeOwned;
 use transport::{ExchangeError, ExchangeLimits, HttpClient};
 
@@ -148,13 +149,13 @@
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
-        revision: u64,
+        after: StorePosition,
         wait: u64,
     ) -> PlatformFuture<'a, WatchReport> {
         async move {
             let url = format!(
-                "http://{}/v1/watch?prefix={prefix}&after={revision}&wait_ms={wait}",
-                self.key_value
+                "http://{}/v1/watch?prefix={prefix}&after={}&wait_ms={wait}",
+                self.key_value, after.revision
             );
             let answer = self.watches.fetch::<WatchResponse>(Method::GET, &url);
             let (_, response) = answer.await.map_err(key_value_error)?;
--- a/crates/platform/src/key_value.rs
+++ b/crates/platform/src/key_value.rs
@@ -3,6 +3,7 @@
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use policy::ids::Incarnation;
+use policy::store_position::StorePosition;
 
 /// A call to the platform in flight.
 pub type PlatformFuture<'a, T> = LocalBoxFuture<'a, Result<T, KeyValueError>>;
@@ -18,8 +19,10 @@
     Unreadable,
     /// The service refused the call, which had no effect.
     Refused,
-    /// The service no longer keeps the changes after the requested revision.
+    /// The service does not keep the changes after the requested position, or is in another era.
     HistoryLost,
+    /// The answer is of an earlier era than is known already, and is not used.
+    EarlierEra,
 }
 
 /// A value with the revision of its last write.
@@ -86,8 +89,8 @@
 /// The changes that a watch returned.
 #[derives::value]
 pub struct WatchReport {
-    /// Revision from which to continue the watch.
-    pub revision: u64,
+    /// Position from which to continue the watch.
+    pub position: StorePosition,
     /// The changes, oldest first.
     pub events: Vec<WatchEvent>,
 }
@@ -154,19 +157,19 @@
     /// Renews a lease, or reports that it has expired.
     fn renew_lease(&self, lease: LeaseId) -> PlatformFuture<'_, LeaseState>;
 
-    /// Waits up to `wait` milliseconds for changes after `revision` to keys that begin with
-    /// `prefix`. With revision zero it returns the present content at once.
+    /// Waits up to `wait` milliseconds for changes after a position to keys that begin with `prefix`.
+    /// From [`StorePosition::START`] it returns the present content at once.
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
-        revision: u64,
+        after: StorePosition,
         wait: u64,
     ) -> PlatformFuture<'a, WatchReport>;
 
     /// Reads the present content of the keys that sort after `after`.
     fn read_after<'a>(&'a self, after: &'a str) -> PlatformFuture<'a, WatchReport> {
         async move {
-            let mut report = self.watch("", 0, 0).await?;
+            let mut report = self.watch("", StorePosition::START, 0).await?;
             report.events.retain(|event| event.key() > after);
             Ok(report)
         }
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -1,6 +1,7 @@
 //! JSON messages of the platform's HTTP interface.
 
 use policy::ids::Incarnation;
+use policy::store_position::StorePosition;
 
 use crate::key_value::{
     InstanceKind, InstanceState, ListedInstance, StoredKey, StoredValue, WatchEvent, WatchReport,
@@ -97,7 +98,7 @@
 impl From<WatchResponse> for WatchReport {
     fn from(response: WatchResponse) -> Self {
         Self {
-            revision: response.revision,
+            position: StorePosition::without_era(response.revision),
             events: response.events.into_iter().map(WatchEvent::from).collect(),
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod rollout;
 pub mod statement_delay;
 pub mod steward;
+pub mod store_position;
 pub mod template;
 pub mod tunnel;
--- a/crates/relay/src/endpoint_view.rs
+++ b/crates/relay/src/endpoint_view.rs
@@ -24,15 +24,41 @@
     started_at: Option<u64>,
     /// Whether the endpoint has said in an answer that it leaves.
     says_leaving: bool,
+    /// Whether an entry of the same start has said that it leaves.
+    was_leaving: bool,
+    /// Until when the entry may be of a time before the endpoint left, because the store has come
+    /// back from a copy.
+    doubted_until: Option<Millis>,
 }
 
 impl KnownEndpoint {
     fn state(&self) -> EndpointState {
-        if self.says_leaving {
+        if self.says_leaving || self.was_leaving || self.doubted_until.is_some() {
             return EndpointState::Leaving;
         }
         self.info.state
     }
+
+    fn past(&self) -> EndpointPast {
+        EndpointPast {
+            started_at: self.started_at,
+            says_leaving: self.says_leaving,
+            is_leaving: self.was_leaving || self.info.state == EndpointState::Leaving,
+            is_doubted: self.doubted_until.is_some(),
+        }
+    }
+}
+
+/// What was known of an endpoint before an entry of it is read.
+#[derive(Debug, Clone, Copy)]
+struct EndpointPast {
+    started_at: Option<u64>,
+    /// Whether the endpoint has said in an answer that it leaves.
+    says_leaving: bool,
+    /// Whether an entry has said that it leaves.
+    is_leaving: bool,
+    /// Whether its entry was removed, or is in doubt.
+    is_doubted: bool,
 }
 
 /// Removal of an endpoint.
@@ -41,10 +67,8 @@
     at: Millis,
     /// Whether the endpoint was seen leaving before.
     is_announced: bool,
-    /// As in the removed entry.
-    started_at: Option<u64>,
-    /// As in the removed entry.
-    says_leaving: bool,
+    /// What was known of the endpoint when its entry was removed.
+    past: EndpointPast,
 }
 
 impl Departure {
@@ -52,8 +76,10 @@
         Self {
             at,
             is_announced: entry.state() == EndpointState::Leaving,
-            started_at: entry.started_at,
-            says_leaving: entry.says_leaving,
+            past: EndpointPast {
+                is_doubted: true,
+                ..entry.past()
+            },
         }
     }
 }
@@ -70,6 +96,9 @@
     /// When the store last recovered from an outage.
     store_recovered_at: Option<Millis>,
     is_store_lost: bool,
+    /// Until when entries may be older than what is known, because the store has come back from a
+    /// copy: those that live write again what the copy lacks.
+    copied_until: Option<Millis>,
 }
 
 /// Whether a change affects placement.
@@ -90,35 +119,41 @@
 
     /// Adds an endpoint or replaces its entry.
     pub fn put(&mut self, pool: PoolId, info: EndpointInfo) -> ViewChange {
-        self.put_started(pool, info, None)
+        self.put_started(pool, info, None, 0)
     }
 
     /// Adds an endpoint whose process started at `started_at`, on its own clock, or replaces its
-    /// entry. What the endpoint has said in answers holds until an entry names another start.
+    /// entry. That the endpoint leaves holds until an entry names another start. While entries may be
+    /// of a copy, an endpoint that had left is not used for an entry that may be of an earlier time.
     pub fn put_started(
         &mut self,
         pool: PoolId,
         info: EndpointInfo,
         started_at: Option<u64>,
+        now: Millis,
     ) -> ViewChange {
         let endpoint = info.target.endpoint.clone();
-        let departure = self.departed.remove(&endpoint);
-        let departed = departure.map(|known| (known.started_at, known.says_leaving));
-        let listed = self.endpoints.get(&endpoint);
-        let listed = listed.map(|known| (known.started_at, known.says_leaving));
-        let says_leaving = listed.or(departed) == Some((started_at, true));
+        let departed = self.departed.remove(&endpoint).map(|known| known.past);
+        let listed = self.endpoints.get(&endpoint).map(KnownEndpoint::past);
+        let past = listed.or(departed);
+        let past = past.filter(|past| past.started_at == started_at);
+        let copied_until = self.copied_until.filter(|until| now < *until);
+        let may_be_older = past.is_some_and(|past| past.is_leaving || past.is_doubted);
         let new_entry = KnownEndpoint {
             pool,
             info,
             missing_until: None,
             started_at,
-            says_leaving,
+            says_leaving: past.is_some_and(|past| past.says_leaving),
+            // Without a start, an entry may be that of a new process.
+            was_leaving: started_at.is_some() && past.is_some_and(|past| past.is_leaving),
+            doubted_until: copied_until.filter(|_| may_be_older),
         };
         match self.endpoints.get_mut(&endpoint) {
             Some(entry)
                 if entry.info == new_entry.info
                     && entry.pool == new_entry.pool
-                    && entry.says_leaving == new_entry.says_leaving =>
+                    && entry.state() == new_entry.state() =>
             {
                 *entry = new_entry;
                 ViewChange::Same
@@ -198,22 +233,35 @@
         }
     }
 
-    /// Removes endpoints whose entries have not come back in time.
+    /// Records that the store has come back from a copy, whose entries are about to be read. Entries
+    /// that it lacks are kept, and departed endpoints are not used again, until those that live have
+    /// written again.
+    pub fn store_restored(&mut self, now: Millis) {
+        self.store_lost();
+        self.store_recovered(now);
+        self.copied_until = Some(now + REJOIN_TIME);
+    }
+
+    /// Removes endpoints whose entries have not come back in time, and uses those again whose entries
+    /// are no longer in doubt.
     pub fn expire(&mut self, now: Millis) -> ViewChange {
+        let mut change = ViewChange::Same;
+        for entry in self.endpoints.values_mut() {
+            if entry.doubted_until.is_some_and(|until| until <= now) {
+                entry.doubted_until = None;
+                change = ViewChange::Changed;
+            }
+        }
         self.departed
             .retain(|_, departure| now.saturating_sub(departure.at) < DEPARTED_RETENTION);
-        let before = self.endpoints.len();
         let is_kept = |entry: &KnownEndpoint| entry.missing_until.is_none_or(|until| now < until);
         let missing = self.endpoints.iter().filter(|(_, entry)| !is_kept(entry));
         let missing: Vec<EndpointId> = missing.map(|(id, _)| id.clone()).collect();
         for endpoint in missing {
             self.depart(&endpoint, now);
+            change = ViewChange::Changed;
         }
-        if self.endpoints.len() == before {
-            ViewChange::Same
-        } else {
-            ViewChange::Changed
-        }
+        change
     }
 
     /// Whether an endpoint is leaving or was removed recently.
--- a/crates/relay/src/forwarded_store.rs
+++ b/crates/relay/src/forwarded_store.rs
@@ -9,7 +9,7 @@
 
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
-use peer::{ChangeBatch, ChangeHandler, ChangeLink, StoreChange};
+use peer::{ChangeAnswer, ChangeBatch, ChangeHandler, ChangeLink, StoreChange};
 use platform::{
     CasOutcome, KeyValue, KeyValueError, LeaseId, LeaseState, ListedInstance, PlatformFuture,
     StoredKey, StoredValue, WatchEvent, WatchReport,
@@ -17,11 +17,13 @@
 use policy::forwarding_budget::ForwardingBudget;
 use policy::ids::Millis;
 use policy::retry_delay::RetryDelay;
+use policy::store_position::StorePosition;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::BootClock;
 use crate::placement_router::PlacementRouter;
+use crate::store_era::{EraChange, StoreEra};
 use crate::store_outage::{StoreOutage, informed_delay};
 
 /// Number of changes that a reader buffers for its followers.
@@ -53,9 +55,10 @@
 
 /// The latest changes that a reader has seen.
 ///
-/// Invariant: contains all changes with a revision above `start` and up to `current`.
+/// Invariant: contains all changes of one era with a revision above `start` and up to `current`.
 #[derive(Debug, Default)]
 struct ChangeBuffer {
+    era: u64,
     start: u64,
     current: u64,
     changes: VecDeque<StoreChange>,
@@ -64,9 +67,10 @@
 }
 
 impl ChangeBuffer {
-    fn restart(&mut self, revision: u64) {
-        self.start = revision;
-        self.current = revision;
+    fn restart(&mut self, position: StorePosition) {
+        self.era = position.era;
+        self.start = position.revision;
+        self.current = position.revision;
         self.changes.clear();
         self.confirmed_at = Some(Instant::now());
     }
@@ -93,7 +97,14 @@
                 self.start = self.start.max(evicted.revision);
             }
         }
-        self.current = self.current.max(report.revision);
+        self.current = self.current.max(report.position.revision);
+    }
+
+    fn position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era,
+            revision: self.current,
+        }
     }
 
     /// Until when the changes count as current. A limit is needed since the reader's own connection
@@ -122,6 +133,7 @@
     budget: RefCell<ForwardingBudget>,
     clock: BootClock,
     changed: Notify,
+    era: Rc<StoreEra>,
     /// Why the last request of a follower was declined; `None` if it was answered.
     declined: Cell<Option<DeclineCause>>,
 }
@@ -131,8 +143,10 @@
 enum DeclineCause {
     /// The store has not answered this instance lately.
     NotCurrent,
-    /// The changes after the follower's revision are no longer buffered.
+    /// The changes after the follower's position are lost.
     HistoryLost,
+    /// The follower states no era, and the store has had more than one.
+    UnstatedEra,
     /// The link has no budget left for the changes.
     LinkBudget,
 }
@@ -144,18 +158,42 @@
         self.budget.borrow_mut().take(bytes, self.clock.now())
     }
 
-    /// Logs a declined request, unless the last one was declined for the same cause.
-    fn log_declined(&self, cause: DeclineCause, after: u64) {
-        if self.declined.replace(Some(cause)) == Some(cause) {
-            return;
+    /// Declines a request, and logs that unless the last one was declined for the same cause.
+    fn decline(&self, cause: DeclineCause, after: StorePosition) -> ChangeAnswer {
+        let buffer = self.buffer.borrow();
+        if self.declined.replace(Some(cause)) != Some(cause) {
+            spdlog::info!("changes not forwarded", kv: {
+                cause:? = cause,
+                after_era = after.era,
+                after = after.revision,
+                era = buffer.era,
+                buffered_from = buffer.start,
+                current = buffer.current,
+            });
         }
+        match cause {
+            DeclineCause::HistoryLost => ChangeAnswer::HistoryLost { era: buffer.era },
+            _ => ChangeAnswer::Declined,
+        }
+    }
+
+    /// Until when this instance can answer a follower at the position `after`.
+    fn current_until(&self, after: StorePosition) -> Result<Instant, DeclineCause> {
         let buffer = self.buffer.borrow();
-        spdlog::info!("changes not forwarded", kv: {
-            cause:? = cause,
-            after = after,
-            buffered_from = buffer.start,
-            current = buffer.current,
-        });
+        let until = buffer.current_until();
+        let until = until.filter(|until| Instant::now() < *until);
+        let until = until.ok_or(DeclineCause::NotCurrent)?;
+        if buffer.era < self.era.known().max(after.era) {
+            return Err(DeclineCause::NotCurrent);
+        }
+        if after.era == 0 && self.era.has_risen() {
+            return Err(DeclineCause::UnstatedEra);
+        }
+        let is_other_era = after.era != 0 && after.era < buffer.era;
+        if is_other_era || after.revision < buffer.start {
+            return Err(DeclineCause::HistoryLost);
+        }
+        Ok(until)
     }
 }
 
@@ -167,9 +205,9 @@
 
 impl ChangeSource {
     /// Creates a source without changes that forwards over a link of `link_rate` bytes per
-    /// millisecond.
+    /// millisecond, of a store whose eras `era` knows.
     #[must_use]
-    pub fn new(clock: BootClock, link_rate: u64) -> Self {
+    pub fn new(clock: BootClock, link_rate: u64, era: Rc<StoreEra>) -> Self {
         let budget = ForwardingBudget::new(link_rate, clock.now());
         Self {
             state: Rc::new(SourceState {
@@ -177,6 +215,7 @@
                 budget: RefCell::new(budget),
                 clock,
                 changed: Notify::new(),
+                era,
                 declined: Cell::new(None),
             }),
         }
@@ -184,38 +223,34 @@
 }
 
 impl ChangeHandler for ChangeSource {
-    fn changes(&self, after: u64, wait: Duration) -> LocalBoxFuture<'static, Option<ChangeBatch>> {
+    fn changes(
+        &self,
+        after: StorePosition,
+        wait: Duration,
+    ) -> LocalBoxFuture<'static, ChangeAnswer> {
         let source = Rc::clone(&self.state);
         let deadline = Instant::now() + wait;
         async move {
             loop {
-                let wake_at;
                 let notified = source.changed.notified();
-                {
-                    let buffer = source.buffer.borrow();
-                    let current_until = buffer.current_until();
-                    let Some(until) = current_until.filter(|until| Instant::now() < *until) else {
-                        source.log_declined(DeclineCause::NotCurrent, after);
-                        return None;
-                    };
-                    if after < buffer.start {
-                        source.log_declined(DeclineCause::HistoryLost, after);
-                        return None;
-                    }
-                    wake_at = deadline.min(until);
-                    let newer = buffer.after(after);
-                    if !newer.is_empty() || Instant::now() >= deadline {
-                        if !source.try_spend_budget(&newer) {
-                            source.log_declined(DeclineCause::LinkBudget, after);
-                            return None;
-                        }
-                        source.declined.set(None);
-                        return Some(ChangeBatch {
-                            revision: buffer.current.max(after),
-                            changes: newer,
-                        });
+                let current_until = match source.current_until(after) {
+                    Ok(until) => until,
+                    Err(cause) => return source.decline(cause, after),
+                };
+                let newer = source.buffer.borrow().after(after.revision);
+                if !newer.is_empty() || Instant::now() >= deadline {
+                    if !source.try_spend_budget(&newer) {
+                        return source.decline(DeclineCause::LinkBudget, after);
                     }
+                    source.declined.set(None);
+                    let mut position = source.buffer.borrow().position();
+                    position.revision = position.revision.max(after.revision);
+                    return ChangeAnswer::Changes(ChangeBatch {
+                        position,
+                        changes: newer,
+                    });
                 }
+                let wake_at = deadline.min(current_until);
                 // The buffer is checked after a timeout as well as after a change.
                 let _ = timeout_at(wake_at, notified).await;
             }
@@ -228,7 +263,9 @@
 #[derive(Debug)]
 enum ReaderOutcome {
     Changes(WatchReport),
-    /// The reader lacks the history, is not current, or has no forwarding budget left.
+    /// The reader is current, and the changes after this instance's position are lost.
+    HistoryLost,
+    /// The reader is not current, or has no forwarding budget left.
     Declined,
     /// No connection was made within [`CONNECT_TIMEOUT`].
     Unreachable,
@@ -248,6 +285,7 @@
     links: RefCell<HashMap<SocketAddr, ChangeLink>>,
     unavailable_readers: RefCell<Vec<(SocketAddr, Millis)>>,
     outage: Rc<StoreOutage>,
+    era: Rc<StoreEra>,
     /// Delays between a follower's own calls while its readers decline.
     follower_delay: RefCell<RetryDelay>,
     /// Until when a follower leaves the store to its readers.
@@ -258,6 +296,8 @@
 #[derive(Debug)]
 enum ReaderRound {
     Changes(WatchReport),
+    /// The changes after this instance's position are lost.
+    HistoryLost,
     /// All reachable readers declined: the store may be away for them too.
     Declined,
     /// No reader could be asked.
@@ -267,18 +307,20 @@
 impl ForwardedStore {
     /// Creates a store that watches through the readers in `router`'s member list, or, if this
     /// instance is a reader, watches `direct` and forwards changes over a link of `link_rate` bytes
-    /// per millisecond.
+    /// per millisecond. `era` is shared with the other parts that call the store.
     #[must_use]
     pub fn new(
         direct: Rc<dyn KeyValue>,
         router: Rc<PlacementRouter>,
         clock: BootClock,
         link_rate: u64,
+        era: Rc<StoreEra>,
     ) -> Self {
         Self {
             direct,
             router,
-            source: ChangeSource::new(clock.clone(), link_rate),
+            source: ChangeSource::new(clock.clone(), link_rate, Rc::clone(&era)),
+            era,
             clock,
             links: RefCell::default(),
             unavailable_readers: RefCell::new(Vec::new()),
@@ -301,22 +343,26 @@
         self.source.clone()
     }
 
-    async fn watch_direct(&self, revision: u64, wait: u64) -> Result<WatchReport, KeyValueError> {
-        let report = self.direct.watch("", revision, wait).await;
-        self.record_direct(revision, &report);
+    async fn watch_direct(
+        &self,
+        after: StorePosition,
+        wait: u64,
+    ) -> Result<WatchReport, KeyValueError> {
+        let report = self.direct.watch("", after, wait).await;
+        self.record_direct(after, &report);
         report
     }
 
-    /// Passes the answer to a call of the store, which asked for the changes after `revision`, on to
-    /// the followers; revision zero stands for the present content.
-    fn record_direct(&self, revision: u64, report: &Result<WatchReport, KeyValueError>) {
+    /// Passes the answer to a call of the store, which asked for the changes after a position, on to
+    /// the followers.
+    fn record_direct(&self, after: StorePosition, report: &Result<WatchReport, KeyValueError>) {
         {
             let mut buffer = self.source.state.buffer.borrow_mut();
             match report {
-                Ok(report) if revision == 0 => buffer.restart(report.revision),
+                Ok(report) if after == StorePosition::START => buffer.restart(report.position),
                 // While another reader was used, this buffer missed changes.
-                Ok(report) if buffer.current != revision => {
-                    buffer.restart(revision);
+                Ok(report) if buffer.position() != after => {
+                    buffer.restart(after);
                     buffer.extend(report);
                 }
                 Ok(report) => buffer.extend(report),
@@ -331,16 +377,21 @@
     /// probably away for all instances.
     async fn watch_following(
         &self,
-        revision: u64,
+        after: StorePosition,
         wait: u64,
     ) -> Result<WatchReport, KeyValueError> {
         loop {
-            match self.watch_reader(revision).await {
+            match self.watch_reader(after).await {
                 ReaderRound::Changes(report) => {
                     self.follower_delay.borrow_mut().reset();
                     self.direct_after.set(0);
                     return Ok(report);
                 }
+                ReaderRound::HistoryLost => {
+                    self.follower_delay.borrow_mut().reset();
+                    self.direct_after.set(0);
+                    return Err(KeyValueError::HistoryLost);
+                }
                 ReaderRound::Declined if self.direct_after.get() == 0 => self.postpone_direct(),
                 ReaderRound::Declined | ReaderRound::Unavailable => {}
             }
@@ -349,7 +400,7 @@
             }
             tokio::time::sleep(READER_ROUND_PAUSE).await;
         }
-        let report = self.watch_direct(revision, wait).await;
+        let report = self.watch_direct(after, wait).await;
         match &report {
             Ok(_) => {
                 self.follower_delay.borrow_mut().reset();
@@ -370,7 +421,7 @@
         spdlog::info!("store left to the readers", kv: { delay = delay });
     }
 
-    async fn watch_reader(&self, revision: u64) -> ReaderRound {
+    async fn watch_reader(&self, after: StorePosition) -> ReaderRound {
         let now = self.clock.now();
         self.unavailable_readers
             .borrow_mut()
@@ -385,9 +436,10 @@
             if self.unavailable_readers.borrow().iter().any(is_unavailable) {
                 continue;
             }
-            let answer = self.request_changes(address, revision).await;
+            let answer = self.request_changes(address, after).await;
             let retry_delay = match answer {
                 ReaderOutcome::Changes(report) => return ReaderRound::Changes(report),
+                ReaderOutcome::HistoryLost => return ReaderRound::HistoryLost,
                 ReaderOutcome::Declined => DECLINED_RETRY_DELAY,
                 ReaderOutcome::Unreachable | ReaderOutcome::NoAnswer => READER_RETRY_DELAY,
             };
@@ -398,13 +450,15 @@
                 ReaderOutcome::Declined => round = ReaderRound::Declined,
                 // Waiting for a second reader as long would delay changes too much.
                 ReaderOutcome::NoAnswer => return ReaderRound::Unavailable,
-                ReaderOutcome::Changes(_) | ReaderOutcome::Unreachable => {}
+                ReaderOutcome::Changes(_)
+                | ReaderOutcome::HistoryLost
+                | ReaderOutcome::Unreachable => {}
             }
         }
         round
     }
 
-    async fn request_changes(&self, address: SocketAddr, revision: u64) -> ReaderOutcome {
+    async fn request_changes(&self, address: SocketAddr, after: StorePosition) -> ReaderOutcome {
         let pooled = self.links.borrow_mut().remove(&address);
         let link = match pooled {
             Some(link) => link,
@@ -412,7 +466,7 @@
                 Ok(link) => {
                     spdlog::info!("reader connected", kv: {
                         address: = address,
-                        revision = revision,
+                        revision = after.revision,
                     });
                     link
                 }
@@ -422,21 +476,44 @@
                 }
             },
         };
-        let batch = match link.changes(revision, READER_TIMEOUT).await {
-            Ok(batch) => batch,
+        let answer = match link.changes(after, READER_TIMEOUT).await {
+            Ok(answer) => answer,
             Err(error) => {
                 spdlog::info!("reader lost", kv: { address: = address, fault:? = error });
                 return ReaderOutcome::NoAnswer;
             }
         };
         self.links.borrow_mut().insert(address, link);
-        match batch {
-            Some(batch) => ReaderOutcome::Changes(WatchReport {
-                revision: batch.revision,
-                events: batch.changes.into_iter().map(watch_event).collect(),
-            }),
-            None => ReaderOutcome::Declined,
+        self.reader_outcome(answer, after)
+    }
+
+    /// What the answer of a reader to a request for the changes after a position is worth here.
+    fn reader_outcome(&self, answer: ChangeAnswer, after: StorePosition) -> ReaderOutcome {
+        let batch = match answer {
+            ChangeAnswer::Changes(batch) => batch,
+            ChangeAnswer::HistoryLost { era } => {
+                if self.era.observe(era) == EraChange::Risen {
+                    spdlog::warn!("store came back from a copy", kv: { era = era, known = after.era });
+                }
+                return ReaderOutcome::HistoryLost;
+            }
+            ChangeAnswer::Declined => return ReaderOutcome::Declined,
+        };
+        let ChangeBatch {
+            mut position,
+            changes,
+        } = batch;
+        if position.era == 0 && !self.era.has_risen() {
+            // The reader knows no eras, and there was only one.
+            position.era = after.era;
+        }
+        if position.era != after.era {
+            return ReaderOutcome::Declined;
         }
+        ReaderOutcome::Changes(WatchReport {
+            position,
+            events: changes.into_iter().map(watch_event).collect(),
+        })
     }
 }
 
@@ -490,24 +567,24 @@
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
-        revision: u64,
+        after: StorePosition,
         wait: u64,
     ) -> PlatformFuture<'a, WatchReport> {
         async move {
             // Readers forward the changes of all keys, so a watch with a prefix goes to the store
             // directly.
             if !prefix.is_empty() {
-                return self.direct.watch(prefix, revision, wait).await;
+                return self.direct.watch(prefix, after, wait).await;
             }
-            if revision > 0 && !self.router.is_reader() {
-                return self.watch_following(revision, wait).await;
+            if after != StorePosition::START && !self.router.is_reader() {
+                return self.watch_following(after, wait).await;
             }
             let wait = if self.router.reads_for_others() {
                 wait.min(READER_WATCH_WAIT)
             } else {
                 wait
             };
-            self.watch_direct(revision, wait).await
+            self.watch_direct(after, wait).await
         }
         .boxed_local()
     }
@@ -515,7 +592,7 @@
     fn read_after<'a>(&'a self, after: &'a str) -> PlatformFuture<'a, WatchReport> {
         async move {
             let report = self.direct.read_after(after).await;
-            self.record_direct(0, &report);
+            self.record_direct(StorePosition::START, &report);
             report
         }
         .boxed_local()
--- a/crates/relay/src/store_era.rs
+++ b/crates/relay/src/store_era.rs
@@ -11,6 +11,7 @@
 pub struct StoreEra {
     /// Zero until one is stated.
     known: Cell<u64>,
+    has_risen: Cell<bool>,
     risen: Notify,
 }
 
@@ -38,16 +39,23 @@
         self.known.get()
     }
 
-    /// Records an era that an answer states.
+    /// Whether the store has come back from a copy since this instance learned of its first era.
+    #[must_use]
+    pub fn has_risen(&self) -> bool {
+        self.has_risen.get()
+    }
+
+    /// Records an era that an answer states; zero if it states none.
     pub fn observe(&self, era: u64) -> EraChange {
         let known = self.known.get();
-        if era == known {
+        if era == known || era == 0 {
             return EraChange::Same;
         }
         if era < known {
             return EraChange::Fallen;
         }
         self.known.set(era);
+        self.has_risen.set(self.has_risen.get() || known != 0);
         self.risen.notify_waiters();
         if known == 0 {
             return EraChange::Same;
--- a/crates/relay/src/store_outage.rs
+++ b/crates/relay/src/store_outage.rs
@@ -66,11 +66,16 @@
     pub async fn wait(&self, delays: &mut RetryDelay) {
         let delay = Duration::from_millis(delays.next(self.draw()));
         if timeout(delay, self.ended.notified()).await.is_ok() {
-            let spread = f64_to_u64(u64_to_f64(RETURN_SPREAD) * self.draw());
-            tokio::time::sleep(Duration::from_millis(spread)).await;
+            self.spread().await;
         }
     }
 
+    /// Waits for a random part of [`RETURN_SPREAD`], so that not all instances call at once.
+    pub async fn spread(&self) {
+        let spread = f64_to_u64(u64_to_f64(RETURN_SPREAD) * self.draw());
+        tokio::time::sleep(Duration::from_millis(spread)).await;
+    }
+
     /// The next of `delays`, for a part that looks for the end of the outage itself.
     pub fn next_delay(&self, delays: &mut RetryDelay) -> Duration {
         Duration::from_millis(delays.next(self.draw()))
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -306,7 +306,7 @@
     let pool = PoolId::new("pool");
     let endpoint = EndpointId::new("a");
     let mut view = EndpointView::new();
-    view.put_started(pool.clone(), info("a", EndpointState::Ready), Some(1));
+    view.put_started(pool.clone(), info("a", EndpointState::Ready), Some(1), 0);
     assert_eq!(view.mark_leaving(&endpoint), ViewChange::Changed);
     assert_eq!(view.mark_leaving(&endpoint), ViewChange::Same);
     for case in cases {
@@ -314,7 +314,7 @@
             view.remove(&endpoint, 0);
         }
         let entry = info("a", EndpointState::Ready);
-        view.put_started(pool.clone(), entry, case.started_at);
+        view.put_started(pool.clone(), entry, case.started_at, 0);
         let states: Vec<_> = view.in_pool(&pool).iter().map(|info| info.state).collect();
         assert_eq!(states, [case.state], "{}", case.name);
         let is_leaving = case.state == EndpointState::Leaving;
--- a/crates/relay/tests/forwarded_store.rs
+++ b/crates/relay/tests/forwarded_store.rs
@@ -9,7 +9,7 @@
 use futures::FutureExt;
 use jackdawpoint_relay::clock::BootClock;
 use jackdawpoint_relay::{DispatcherDriver, ForwardedStore, PlacementRouter};
-use peer::{ChangeHandler, serve_instance};
+use peer::{ChangeAnswer, ChangeBatch, ChangeHandler, serve_instance};
 use platform::{
     CasOutcome, KeyValue, KeyValueError, LeaseId, LeaseState, ListedInstance, PlatformFuture,
     StoredKey, StoredValue, WatchEvent, WatchReport,
@@ -17,6 +17,7 @@
 use policy::dispatch::DispatchLimits;
 use policy::fleet::FleetMember;
 use policy::ids::{DomainId, Incarnation, InstanceId};
+use policy::store_position::StorePosition;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
@@ -84,7 +85,7 @@
     fn watch<'a>(
         &'a self,
         _prefix: &'a str,
-        _revision: u64,
+        _after: StorePosition,
         _wait: u64,
     ) -> PlatformFuture<'a, WatchReport> {
         let earlier = self.calls.replace(self.calls.get() + 1);
@@ -111,13 +112,26 @@
 
 const FIRST_REVISION: u64 = 7;
 
+/// A position of a store that states no eras.
+fn at(revision: u64) -> StorePosition {
+    StorePosition::without_era(revision)
+}
+
+/// The changes in a reader's answer, if it has any.
+fn changes(answer: ChangeAnswer) -> Option<ChangeBatch> {
+    match answer {
+        ChangeAnswer::Changes(batch) => Some(batch),
+        ChangeAnswer::HistoryLost { .. } | ChangeAnswer::Declined => None,
+    }
+}
+
 fn report(revision: u64, value: Option<String>) -> WatchReport {
     let put = |value| WatchEvent::Put {
         key: "op/config".to_owned(),
         stored: StoredValue { value, revision },
     };
     WatchReport {
-        revision,
+        position: StorePosition::without_era(revision),
         events: value.map(put).into_iter().collect(),
     }
 }
@@ -130,7 +144,7 @@
     link_rate: u64,
 ) -> ForwardedStore {
     let router = router_of(instance, members);
-    ForwardedStore::new(direct, router, BootClock::new(), link_rate)
+    ForwardedStore::new(direct, router, BootClock::new(), link_rate, Rc::default())
 }
 
 /// The router of `instance`, which knows the `members` of its failure domain.
@@ -171,16 +185,17 @@
     let store = store_of(direct, "reader", &[("reader", UNUSED_ADDRESS)], WIDE_LINK);
     let source = store.source();
     store
-        .watch("", 0, 0)
+        .watch("", StorePosition::START, 0)
         .await
         .expect("the first watch is answered");
     let short = Duration::from_millis(100);
-    let answer = source.changes(FIRST_REVISION, short).await;
-    assert!(answer.is_some(), "the reader is current");
+    let answer = source.changes(at(FIRST_REVISION), short).await;
+    assert!(changes(answer).is_some(), "the reader is current");
     // The reader's next watch hangs. A follower that asks meanwhile must not be answered "no
     // changes" for longer than a change may take to be in force.
-    let answer = source.changes(FIRST_REVISION, Duration::from_secs(5)).await;
-    assert!(answer.is_none(), "{answer:?}");
+    let position = at(FIRST_REVISION);
+    let answer = source.changes(position, Duration::from_secs(5)).await;
+    assert_eq!(answer, ChangeAnswer::Declined);
 }
 
 /// Twenty followers of an instance with a slow link: sending 6 MB to all at once would take its
@@ -194,14 +209,15 @@
     let source = store.source();
     for revision in [0, FIRST_REVISION] {
         store
-            .watch("", revision, 0)
+            .watch("", at(revision), 0)
             .await
             .expect("the store answers");
     }
     let mut forwarded = 0;
     let mut refused = 0;
     for _ in 0..20 {
-        match source.changes(FIRST_REVISION, Duration::ZERO).await {
+        let answer = source.changes(at(FIRST_REVISION), Duration::ZERO).await;
+        match changes(answer) {
             Some(batch) => forwarded += batch.changes.len() * LARGE_VALUE,
             None => refused += 1,
         }
@@ -225,12 +241,12 @@
     let source = store.source();
     for revision in [0, FIRST_REVISION, FIRST_REVISION + 1] {
         store
-            .watch("", revision, 0)
+            .watch("", at(revision), 0)
             .await
             .expect("the store answers");
     }
-    let answer = source.changes(FIRST_REVISION, Duration::ZERO).await;
-    let batch = answer.expect("the reader is current");
+    let answer = source.changes(at(FIRST_REVISION), Duration::ZERO).await;
+    let batch = changes(answer).expect("the reader is current");
     let revisions: Vec<u64> = batch.changes.iter().map(|change| change.revision).collect();
     assert_eq!(revisions, [FIRST_REVISION + 2]);
 }
@@ -250,10 +266,13 @@
     let members: Vec<(&str, SocketAddr)> = names.into_iter().zip(addresses).collect();
     let direct = ScriptedStore::new(WatchScript::NoChange);
     let store = store_of(Rc::clone(&direct), "follower", &members, WIDE_LINK);
-    store.watch("", 0, 0).await.expect("the store answers");
+    store
+        .watch("", StorePosition::START, 0)
+        .await
+        .expect("the store answers");
     let started_at = Instant::now();
     tokio::task::LocalSet::new()
-        .run_until(store.watch("", FIRST_REVISION, 0))
+        .run_until(store.watch("", at(FIRST_REVISION), 0))
         .await
         .expect("the store answers directly");
     // Half of the time in which a change must take effect is left for the store.
@@ -280,7 +299,7 @@
         loop {
             let revision = FIRST_REVISION;
             // The script answers at once, so failures and changes are waited for here.
-            let _ = store.watch("", revision, 100).await;
+            let _ = store.watch("", at(revision), 100).await;
             tokio::time::sleep(LOOP_PAUSE).await;
         }
     });
@@ -297,10 +316,13 @@
     }
     let direct = ScriptedStore::new(direct);
     let store = store_of(Rc::clone(&direct), "follower", &members, WIDE_LINK);
-    store.watch("", 0, 0).await.expect("the store answers");
+    store
+        .watch("", StorePosition::START, 0)
+        .await
+        .expect("the store answers");
     let following = async {
         loop {
-            let _ = store.watch("", FIRST_REVISION, 100).await;
+            let _ = store.watch("", at(FIRST_REVISION), 100).await;
             tokio::time::sleep(LOOP_PAUSE).await;
         }
     };
--- a/crates/relay/tests/placement_router.rs
+++ b/crates/relay/tests/placement_router.rs
@@ -66,7 +66,7 @@
             .expect("a free port");
         let address = listener.local_addr().expect("the listener is bound");
         let handler: Rc<PlacementRouter> = Rc::clone(&router);
-        let changes = Rc::new(ChangeSource::new(clock, LINK_RATE));
+        let changes = Rc::new(ChangeSource::new(clock, LINK_RATE, Rc::default()));
         let listening = tokio::task::spawn_local(serve_instance(listener, handler, changes));
         tokio::task::spawn_local(Rc::clone(&router).run());
         let running = Rc::clone(&driver);
--- a/crates/scenarios/src/platform.rs
+++ b/crates/scenarios/src/platform.rs
@@ -11,6 +11,7 @@
     ListedInstance, PlatformFuture, StoredKey, StoredValue, WatchEvent, WatchReport,
 };
 use policy::ids::Incarnation;
+use policy::store_position::StorePosition;
 use tokio::time::{Instant, sleep};
 
 use crate::network::Delivery;
@@ -310,7 +311,7 @@
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
-        revision: u64,
+        after: StorePosition,
         wait: u64,
     ) -> PlatformFuture<'a, WatchReport> {
         async move {
@@ -318,11 +319,14 @@
             loop {
                 let report = self
                     .call(CallKind::Read, |state| WatchReport {
-                        revision: state.revision,
-                        events: state.changes_since(prefix, revision),
+                        position: StorePosition::without_era(state.revision),
+                        events: state.changes_since(prefix, after.revision),
                     })
                     .await?;
-                if revision == 0 || !report.events.is_empty() || Instant::now() >= end {
+                if after == StorePosition::START
+                    || !report.events.is_empty()
+                    || Instant::now() >= end
+                {
                     return Ok(report);
                 }
                 sleep(WATCH_POLL_INTERVAL).await;
