Let the delays of noticing a silent store, or its return, add up to less than the stated time

Cause: each wait was chosen for itself. A silent watch took 0.45 + 0.7 x 3.0 + 0.6 + 0.3 + 0.45 s, and its repetition could take another connection of the pool that had fallen silent too. A follower that its readers declined waited up to 4 s of its own before it called the store, and readers declined exactly the followers that most needed to read all entries again: those whose revision was older than the readers' buffer, after an outage longer than the history. Class: delays on one path that are bounded one by one and not together. Change: policy::notice_times holds all these waits, and the ways on which they follow each other; watches wait as long as the other steps leave, and a test requires each way to be shorter than the bound, for any bound from 3 s. Followers are told that their history is lost and read all entries; their own delays (now 1 to 4 s, so that the store that is away gets no more calls than before) hold only while a reader can tell them of the return; with no reader left they probe as readers do.

--- a/crates/peer/src/change_link.rs
+++ b/crates/peer/src/change_link.rs
@@ -7,6 +7,7 @@
 use capnp::Error;
 use futures::future::LocalBoxFuture;
 use peer_schema::dispatch_capnp::{change, instance};
+use policy::notice_times::READER_MARGIN;
 use policy::store_position::StorePosition;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -15,9 +16,6 @@
 use crate::port::PeerError;
 use crate::steward_link::open;
 
-/// Added to the time that a reader may wait for changes, to allow for the transfer of the answer.
-const ANSWER_SLACK: Duration = Duration::from_millis(400);
-
 /// A change of one key of the platform's key-value store.
 #[derives::value]
 pub struct StoreChange {
@@ -114,7 +112,7 @@
             let answer = request.send().promise.await?;
             read_answer(answer.get()?)
         };
-        match timeout(wait + ANSWER_SLACK, exchange).await {
+        match timeout(wait + Duration::from_millis(READER_MARGIN), exchange).await {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(_)) | Err(_) => Err(PeerError::AnswerLost),
         }
--- a/crates/policy/src/forwarding_budget.rs
+++ b/crates/policy/src/forwarding_budget.rs
@@ -4,13 +4,14 @@
 //! budget can still read from another source in time.
 
 use crate::ids::Millis;
+use crate::notice_times::READER_MARGIN;
 
 /// Share of the link's rate for forwarding changes, in percent; the rest is for callers.
 const LINK_SHARE_PERCENT: u64 = 50;
 
 /// Largest burst, as milliseconds of the forwarding rate. Bounded so that a burst reaches its
-/// follower before the follower's timeout (`ANSWER_SLACK` of the change link).
-const BURST_MILLIS: Millis = 400;
+/// follower before the follower's timeout.
+const BURST_MILLIS: Millis = READER_MARGIN;
 
 /// Token bucket of bytes that may be forwarded.
 #[derive(Debug, Clone)]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod ids;
 pub mod leaving;
 pub mod member;
+pub mod notice_times;
 pub mod order;
 pub mod outcome;
 pub mod part_blame;
--- /dev/null
+++ b/crates/policy/tests/notice_times.rs
@@ -0,0 +1,47 @@
+//! The waits in which an instance notices a silent store, or its return, add up to less than the time
+//! that the platform states.
+
+use jackdawpoint_policy::notice_times::NoticeTimes;
+
+struct Case {
+    /// Stated time, in milliseconds.
+    bound: u64,
+    is_kept: bool,
+}
+
+#[test]
+fn waits_on_every_way_add_up_to_less_than_the_stated_time() {
+    let case = |bound, is_kept| Case { bound, is_kept };
+    let cases = [
+        case(3_000, true),
+        case(3_333, true),
+        case(4_000, true),
+        case(5_000, true),
+        case(60_000, true),
+        // Too short for the waits that do not depend on it.
+        case(1, false),
+        case(1_500, false),
+    ];
+    for case in cases {
+        let times = NoticeTimes::new(case.bound);
+        assert!(times.watch_wait() > 0, "{}", case.bound);
+        assert_eq!(times.keeps_bound(), case.is_kept, "{}", case.bound);
+        for way in times.ways() {
+            let total = way.total();
+            assert_eq!(total, way.steps.iter().sum::<u64>(), "{}", way.name);
+            assert!(
+                !case.is_kept || total < case.bound,
+                "{}: {total} of {} ms: {:?}",
+                way.name,
+                case.bound,
+                way.steps
+            );
+        }
+    }
+}
+
+#[test]
+fn watches_wait_longer_where_more_time_is_stated() {
+    let wait = |bound| NoticeTimes::new(bound).watch_wait();
+    assert!(wait(3_000) < wait(4_000) && wait(4_000) < wait(5_000));
+}
--- a/crates/relay/src/forwarded_store.rs
+++ b/crates/relay/src/forwarded_store.rs
@@ -16,6 +16,7 @@
 };
 use policy::forwarding_budget::ForwardingBudget;
 use policy::ids::Millis;
+use policy::notice_times::{PROBER_DELAY, READER_ROUND_PAUSE, READER_WAIT, READER_WATCH_WAIT};
 use policy::retry_delay::RetryDelay;
 use policy::store_position::StorePosition;
 use tokio::sync::Notify;
@@ -24,18 +25,11 @@
 use crate::clock::BootClock;
 use crate::placement_router::PlacementRouter;
 use crate::store_era::{EraChange, StoreEra};
-use crate::store_outage::{StoreOutage, informed_delay};
+use crate::store_outage::{StoreOutage, follower_delay, prober_delay};
 
 /// Number of changes that a reader buffers for its followers.
 const MAX_BUFFERED_CHANGES: usize = 2_048;
 
-/// Limit for a reader's answer: a silent reader is noticed well within the time in which a change
-/// must take effect.
-const READER_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// Longest wait of a reader's own watch for a change, in milliseconds.
-const READER_WATCH_WAIT: u64 = 700;
-
 /// Time since the store's last answer during which a reader counts as current: the wait of its
 /// watch, the pause after it and a margin.
 const MAX_STALENESS: Duration = Duration::from_millis(1_500);
@@ -46,12 +40,10 @@
 /// Time for which a reader that was unreachable or did not answer is skipped, in milliseconds.
 const READER_RETRY_DELAY: Millis = 3_000;
 
-/// Time for which a reader that declined is skipped, in milliseconds. It is reachable, and answers
-/// as soon as the store answers it: this is how followers learn that the store is back.
-const DECLINED_RETRY_DELAY: Millis = 300;
-
-/// Pause between two rounds of requests to the readers while they decline.
-const READER_ROUND_PAUSE: Duration = Duration::from_millis(300);
+/// Time for which a reader that declined is skipped, in milliseconds: until the next round. It is
+/// reachable, and answers as soon as the store answers it: this is how followers learn that the
+/// store is back.
+const DECLINED_RETRY_DELAY: Millis = READER_ROUND_PAUSE / 2;
 
 /// The latest changes that a reader has seen.
 ///
@@ -269,7 +261,7 @@
     Declined,
     /// No connection was made within [`CONNECT_TIMEOUT`].
     Unreachable,
-    /// A connection was made, but the reader did not answer within [`READER_TIMEOUT`] or closed the
+    /// A connection was made, but the reader did not answer within [`READER_WAIT`] and the margin or closed the
     /// connection.
     NoAnswer,
 }
@@ -288,6 +280,8 @@
     era: Rc<StoreEra>,
     /// Delays between a follower's own calls while its readers decline.
     follower_delay: RefCell<RetryDelay>,
+    /// Delays between a follower's own calls while no reader can be asked.
+    lone_delay: RefCell<RetryDelay>,
     /// Until when a follower leaves the store to its readers.
     direct_after: Cell<Millis>,
 }
@@ -325,7 +319,8 @@
             links: RefCell::default(),
             unavailable_readers: RefCell::new(Vec::new()),
             outage: Rc::default(),
-            follower_delay: RefCell::new(informed_delay()),
+            follower_delay: RefCell::new(follower_delay()),
+            lone_delay: RefCell::new(prober_delay()),
             direct_after: Cell::new(0),
         }
     }
@@ -380,42 +375,50 @@
         after: StorePosition,
         wait: u64,
     ) -> Result<WatchReport, KeyValueError> {
-        loop {
-            match self.watch_reader(after).await {
+        let can_be_told = loop {
+            let round = self.watch_reader(after).await;
+            let can_be_told = match round {
                 ReaderRound::Changes(report) => {
-                    self.follower_delay.borrow_mut().reset();
-                    self.direct_after.set(0);
+                    self.end_waiting();
                     return Ok(report);
                 }
                 ReaderRound::HistoryLost => {
-                    self.follower_delay.borrow_mut().reset();
-                    self.direct_after.set(0);
+                    self.end_waiting();
                     return Err(KeyValueError::HistoryLost);
                 }
-                ReaderRound::Declined if self.direct_after.get() == 0 => self.postpone_direct(),
-                ReaderRound::Declined | ReaderRound::Unavailable => {}
+                ReaderRound::Declined => true,
+                ReaderRound::Unavailable => false,
+            };
+            if can_be_told && self.direct_after.get() == 0 {
+                self.postpone_direct(&self.follower_delay);
+            }
+            if !can_be_told && self.direct_after.get() > self.clock.now() + PROBER_DELAY.longest {
+                // Drawn while readers could still tell this instance of the store's return.
+                self.postpone_direct(&self.lone_delay);
             }
             if self.clock.now() >= self.direct_after.get() {
-                break;
+                break can_be_told;
             }
-            tokio::time::sleep(READER_ROUND_PAUSE).await;
-        }
+            tokio::time::sleep(Duration::from_millis(READER_ROUND_PAUSE)).await;
+        };
         let report = self.watch_direct(after, wait).await;
         match &report {
-            Ok(_) => {
-                self.follower_delay.borrow_mut().reset();
-                self.direct_after.set(0);
-            }
-            Err(_) => self.postpone_direct(),
+            Ok(_) => self.end_waiting(),
+            Err(_) if can_be_told => self.postpone_direct(&self.follower_delay),
+            Err(_) => self.postpone_direct(&self.lone_delay),
         }
         report
     }
 
-    /// Leaves the store to the readers for the next of the follower's delays.
-    fn postpone_direct(&self) {
-        let delay = self
-            .outage
-            .next_delay(&mut self.follower_delay.borrow_mut());
+    fn end_waiting(&self) {
+        self.follower_delay.borrow_mut().reset();
+        self.lone_delay.borrow_mut().reset();
+        self.direct_after.set(0);
+    }
+
+    /// Makes no call of the store for the next of `delays`.
+    fn postpone_direct(&self, delays: &RefCell<RetryDelay>) {
+        let delay = self.outage.next_delay(&mut delays.borrow_mut());
         let delay = Millis::try_from(delay.as_millis()).unwrap_or(Millis::MAX);
         self.direct_after.set(self.clock.now() + delay);
         spdlog::info!("store left to the readers", kv: { delay = delay });
@@ -476,7 +479,10 @@
                 }
             },
         };
-        let answer = match link.changes(after, READER_TIMEOUT).await {
+        let answer = match link
+            .changes(after, Duration::from_millis(READER_WAIT))
+            .await
+        {
             Ok(answer) => answer,
             Err(error) => {
                 spdlog::info!("reader lost", kv: { address: = address, fault:? = error });
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -53,5 +53,5 @@
 };
 pub use crate::server::{bind, serve_callers, serve_probes};
 pub use crate::store_era::{EraChange, StoreEra};
-pub use crate::store_outage::{StoreOutage, informed_delay, prober_delay};
+pub use crate::store_outage::{StoreOutage, follower_delay, informed_delay, prober_delay};
 pub use crate::tunnel_host::EndpointTunnelHost;
--- a/crates/relay/src/store_outage.rs
+++ b/crates/relay/src/store_outage.rs
@@ -5,6 +5,7 @@
 
 use policy::cast::{f64_to_u64, u64_to_f64};
 use policy::ids::Millis;
+use policy::notice_times::PROBER_DELAY;
 use policy::retry_delay::{DelayRange, RetryDelay};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -86,14 +87,10 @@
     }
 }
 
-/// Delays of a part that looks for the end of an outage for others: short against the two seconds in
-/// which a change must take effect.
+/// Delays of a part that looks for the end of an outage for others.
 #[must_use]
 pub fn prober_delay() -> RetryDelay {
-    RetryDelay::new(DelayRange {
-        shortest: 150,
-        longest: 300,
-    })
+    RetryDelay::new(PROBER_DELAY)
 }
 
 /// Delays of a part that is told of the end of an outage, and tries the store itself only in case
@@ -105,3 +102,13 @@
         longest: 4_000,
     })
 }
+
+/// Delays of a follower whose readers decline, and tell it of the end of an outage: it tries the store
+/// itself only because the store may turn just the readers away.
+#[must_use]
+pub fn follower_delay() -> RetryDelay {
+    RetryDelay::new(DelayRange {
+        shortest: 1_000,
+        longest: 4_000,
+    })
+}
--- a/crates/relay/tests/forwarded_store.rs
+++ b/crates/relay/tests/forwarded_store.rs
@@ -8,7 +8,7 @@
 
 use futures::FutureExt;
 use jackdawpoint_relay::clock::BootClock;
-use jackdawpoint_relay::{DispatcherDriver, ForwardedStore, PlacementRouter};
+use jackdawpoint_relay::{DispatcherDriver, ForwardedStore, PlacementRouter, StoreEra};
 use peer::{ChangeAnswer, ChangeBatch, ChangeHandler, serve_instance};
 use platform::{
     CasOutcome, KeyValue, KeyValueError, LeaseId, LeaseState, ListedInstance, PlatformFuture,
@@ -40,6 +40,8 @@
 struct ScriptedStore {
     calls: Cell<u32>,
     later: WatchScript,
+    /// Position of the present content.
+    first: StorePosition,
 }
 
 impl ScriptedStore {
@@ -47,6 +49,15 @@
         Rc::new(Self {
             calls: Cell::new(0),
             later,
+            first: at(FIRST_REVISION),
+        })
+    }
+
+    fn at_position(first: StorePosition) -> Rc<Self> {
+        Rc::new(Self {
+            calls: Cell::new(0),
+            later: WatchScript::NoChange,
+            first,
         })
     }
 }
@@ -89,16 +100,20 @@
         _wait: u64,
     ) -> PlatformFuture<'a, WatchReport> {
         let earlier = self.calls.replace(self.calls.get() + 1);
-        let later = self.later;
+        let (later, first) = (self.later, self.first);
         async move {
+            let unchanged = WatchReport {
+                position: first,
+                events: Vec::new(),
+            };
             if earlier == 0 {
-                return Ok(report(FIRST_REVISION, None));
+                return Ok(unchanged);
             }
             let revision = FIRST_REVISION + u64::from(earlier);
             match later {
                 WatchScript::Hang => std::future::pending().await,
-                WatchScript::LargeValue => Ok(report(revision, Some("x".repeat(LARGE_VALUE)))),
-                WatchScript::NoChange => Ok(report(FIRST_REVISION, None)),
+                WatchScript::LargeValue => Ok(report(revision, "x".repeat(LARGE_VALUE))),
+                WatchScript::NoChange => Ok(unchanged),
                 WatchScript::Away => Err(KeyValueError::Unreachable),
             }
         }
@@ -125,14 +140,14 @@
     }
 }
 
-fn report(revision: u64, value: Option<String>) -> WatchReport {
-    let put = |value| WatchEvent::Put {
+fn report(revision: u64, value: String) -> WatchReport {
+    let put = WatchEvent::Put {
         key: "op/config".to_owned(),
         stored: StoredValue { value, revision },
     };
     WatchReport {
-        position: StorePosition::without_era(revision),
-        events: value.map(put).into_iter().collect(),
+        position: at(revision),
+        events: vec![put],
     }
 }
 
@@ -162,18 +177,22 @@
         clock.clone(),
     ));
     for (name, address) in members {
-        let member = FleetMember {
-            domain: domain.clone(),
-            address: *address,
-            tunnel_address: None,
-            incarnation: Incarnation(1),
-            capacity: 1.0,
-        };
-        router.put_member(InstanceId::new(*name), member);
+        router.put_member(InstanceId::new(*name), member(*address));
     }
     router
 }
 
+/// A member of the failure domain of all instances here.
+fn member(address: SocketAddr) -> FleetMember {
+    FleetMember {
+        domain: DomainId::new("near"),
+        address,
+        tunnel_address: None,
+        incarnation: Incarnation(1),
+        capacity: 1.0,
+    }
+}
+
 const UNUSED_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
 
 /// Rate of a link that never limits forwarding, in bytes per millisecond: 1,000 Mbit/s.
@@ -296,10 +315,12 @@
     let source = Rc::new(store.source());
     tokio::task::spawn_local(serve_instance(listener, handler, source));
     tokio::task::spawn_local(async move {
+        let mut position = StorePosition::START;
         loop {
-            let revision = FIRST_REVISION;
             // The script answers at once, so failures and changes are waited for here.
-            let _ = store.watch("", at(revision), 100).await;
+            if let Ok(report) = store.watch("", position, 100).await {
+                position = report.position;
+            }
             tokio::time::sleep(LOOP_PAUSE).await;
         }
     });
@@ -367,3 +388,176 @@
         assert!(case.calls.contains(&calls), "{}: {calls} calls", case.name);
     }
 }
+
+/// What a reader answers to a follower by the eras that both have read.
+#[tokio::test(start_paused = true)]
+async fn a_reader_compares_revisions_only_within_an_era() {
+    enum Expected {
+        NoChanges,
+        HistoryLost,
+        Declined,
+    }
+    struct Case {
+        name: &'static str,
+        /// Eras that the reader has read, one after the other.
+        read: &'static [u64],
+        /// Revision that the reader has read in the last one.
+        revision: u64,
+        follower: StorePosition,
+        expected: Expected,
+    }
+    let position = |era, revision| StorePosition { era, revision };
+    let case = |name, read, revision, follower, expected| Case {
+        name,
+        read,
+        revision,
+        follower,
+        expected,
+    };
+    let cases = [
+        case("same era", &[1], 7, position(1, 7), Expected::NoChanges),
+        case("no eras", &[0], 7, position(0, 7), Expected::NoChanges),
+        case("earlier", &[1], 7, position(1, 6), Expected::HistoryLost),
+        case(
+            "former era, revision ahead of the reader's",
+            &[1, 2],
+            5,
+            position(1, 7),
+            Expected::HistoryLost,
+        ),
+        case(
+            "former era, revision of the reader's history",
+            &[1, 2],
+            7,
+            position(1, 7),
+            Expected::HistoryLost,
+        ),
+        case("later era", &[1], 7, position(2, 5), Expected::Declined),
+        case(
+            "era not stated, only one so far",
+            &[1],
+            7,
+            position(0, 7),
+            Expected::NoChanges,
+        ),
+        case(
+            "era not stated, several so far",
+            &[1, 2],
+            7,
+            position(0, 7),
+            Expected::Declined,
+        ),
+    ];
+    for case in cases {
+        let era: Rc<StoreEra> = Rc::default();
+        for read in case.read {
+            era.observe(*read);
+        }
+        let first = position(era.known(), case.revision);
+        let direct = ScriptedStore::at_position(first);
+        let router = router_of("reader", &[("reader", UNUSED_ADDRESS)]);
+        let store = ForwardedStore::new(direct, router, BootClock::new(), WIDE_LINK, era);
+        let source = store.source();
+        store
+            .watch("", StorePosition::START, 0)
+            .await
+            .expect("the store answers");
+        let answer = source.changes(case.follower, Duration::ZERO).await;
+        let is_expected = match (&case.expected, &answer) {
+            (Expected::NoChanges, ChangeAnswer::Changes(batch)) => batch.changes.is_empty(),
+            (Expected::HistoryLost, ChangeAnswer::HistoryLost { era }) => *era == first.era,
+            (Expected::Declined, ChangeAnswer::Declined) => true,
+            _ => false,
+        };
+        assert!(is_expected, "{}: {answer:?}", case.name);
+    }
+}
+
+/// A follower whose history the readers have lost learns that from them, whatever its own delay is.
+#[tokio::test]
+async fn a_follower_is_told_at_once_that_its_history_is_lost() {
+    let watched = tokio::task::LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+            let listener = listener.expect("a free port");
+            let address = listener.local_addr().expect("bound");
+            serve_reader(
+                listener,
+                ScriptedStore::at_position(at(FIRST_REVISION + 90)),
+            );
+            let members = [
+                ("a", address),
+                ("b", UNUSED_ADDRESS),
+                ("c", UNUSED_ADDRESS),
+                ("d", UNUSED_ADDRESS),
+                ("e", UNUSED_ADDRESS),
+            ];
+            let direct = ScriptedStore::new(WatchScript::Away);
+            let store = store_of(direct, "follower", &members, WIDE_LINK);
+            tokio::time::sleep(LOOP_PAUSE).await;
+            let watched = store.watch("", at(FIRST_REVISION), 100);
+            tokio::time::timeout(Duration::from_millis(600), watched).await
+        })
+        .await;
+    assert_eq!(watched, Ok(Err(KeyValueError::HistoryLost)));
+}
+
+/// The delays that a follower draws while readers would tell it of the store's return do not hold once
+/// the readers are gone.
+#[tokio::test]
+async fn a_follower_whose_readers_are_gone_calls_the_store_soon() {
+    let took = tokio::task::LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+            let listener = listener.expect("a free port");
+            let address = listener.local_addr().expect("bound");
+            serve_reader(listener, ScriptedStore::new(WatchScript::Away));
+            let names = ["a", "b", "c", "d", "e"];
+            let router = router_of("follower", &names.map(|name| (name, address)));
+            let direct = ScriptedStore::new(WatchScript::Away);
+            let known: Rc<dyn KeyValue> = direct.clone();
+            let store = ForwardedStore::new(
+                known,
+                Rc::clone(&router),
+                BootClock::new(),
+                WIDE_LINK,
+                Rc::default(),
+            );
+            store
+                .watch("", StorePosition::START, 0)
+                .await
+                .expect("the store answers");
+            let following = async {
+                loop {
+                    let _ = store.watch("", at(FIRST_REVISION), 100).await;
+                    tokio::time::sleep(LOOP_PAUSE).await;
+                }
+            };
+            let losing_readers = async {
+                // The delays grow meanwhile.
+                let declined_until = Instant::now() + Duration::from_secs(5);
+                let mut calls = direct.calls.get();
+                while Instant::now() < declined_until || calls == direct.calls.get() {
+                    if Instant::now() < declined_until {
+                        calls = direct.calls.get();
+                    }
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+                for name in names {
+                    router.put_member(InstanceId::new(name), member(UNUSED_ADDRESS));
+                }
+                let calls = direct.calls.get();
+                let gone_at = Instant::now();
+                while direct.calls.get() == calls {
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+                gone_at.elapsed()
+            };
+            tokio::select! {
+                () = following => unreachable!("the loop does not end"),
+                took = losing_readers => took,
+            }
+        })
+        .await;
+    assert!(took < Duration::from_millis(1_200), "{took:?}");
+}
