Ask one gate before every send whether requests may go to an endpoint now, and let it read every answer

Cause: what forbids a send was asked in some places only. The host of a tunnel asked for retry-after and not for leaving; leaving was read only from answers to requests that somebody waited for, not from answers to calls of the engine's memory, to requests whose caller had left, or through a tunnel by its host. Class: knowledge that some way to a send does not ask for. Change: EndpointGate holds the view of the endpoints and the retry-afters, answers one question (`refusal`), and reads the head of every answer on every connection. A host answers that the endpoint leaves, the instance at the other end takes that over, and reports to the host what an answer through it says. Other builds: an older instance that asks for a tunnel is answered "held", which it knows; the report that an endpoint leaves carries a retry-after, which is what an older host reads (crates/peer/tests/tunnel_messages.rs).

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -24,6 +24,6 @@
 pub use server::serve_peers;
 pub use steward_link::StewardLink;
 pub use steward_server::{StewardHandler, serve_instance};
-pub use tunnel_link::{TunnelError, TunnelStream, open_tunnel, report_refusal};
-pub use tunnel_message::TunnelRefusal;
+pub use tunnel_link::{TunnelError, TunnelStream, open_tunnel, report_to_host};
+pub use tunnel_message::{HostReport, TunnelRefusal};
 pub use tunnel_server::{TunnelGuard, TunnelHandler, TunnelTarget, serve_tunnels};
--- a/crates/peer/src/tunnel_link.rs
+++ b/crates/peer/src/tunnel_link.rs
@@ -8,14 +8,14 @@
 use bytes::Bytes;
 use futures::stream::{SplitSink, SplitStream, unfold};
 use futures::{SinkExt, Stream, StreamExt};
-use policy::ids::{EndpointId, Millis};
+use policy::ids::EndpointId;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio_util::io::{CopyToBytes, SinkWriter, StreamReader};
 
 use crate::tunnel_message::{
-    TunnelAnswer, TunnelCall, TunnelRefusal, TunnelRequest, broken_off, frame_codec,
+    HostReport, TunnelAnswer, TunnelCall, TunnelRefusal, TunnelRequest, broken_off, frame_codec,
 };
 
 type TunnelFrames = Framed<TcpStream, LengthDelimitedCodec>;
@@ -59,19 +59,18 @@
     ))
 }
 
-/// Tells the instance at `address` that `endpoint` has refused a request that came through a tunnel
-/// of it, and wants none from it for `retry_after` milliseconds.
+/// Tells the instance at `address` what an endpoint has said in an answer that came through a tunnel of
+/// it.
 ///
 /// # Errors
 ///
 /// If the message was not sent within `time_limit`. Whether it arrives is not known.
-pub async fn report_refusal(
+pub async fn report_to_host(
     address: SocketAddr,
-    endpoint: &EndpointId,
-    retry_after: Millis,
+    report: &HostReport,
     time_limit: Duration,
 ) -> io::Result<()> {
-    let call = TunnelCall::Refused(endpoint.clone(), retry_after);
+    let call = TunnelCall::Report(report.clone());
     timeout(time_limit, send_call(address, call)).await??;
     Ok(())
 }
--- a/crates/peer/src/tunnel_message.rs
+++ b/crates/peer/src/tunnel_message.rs
@@ -21,6 +21,8 @@
     EndpointUnreachable,
     /// The endpoint wants no requests from the instance now.
     EndpointHeld,
+    /// The endpoint leaves, or was removed recently.
+    EndpointLeaving,
     /// The instance reaches no endpoint itself, is stopping, or has too many tunnels.
     Unavailable,
 }
@@ -33,25 +35,52 @@
     /// through a tunnel, and wants none from the host of the tunnel for this time, in milliseconds.
     #[serde(default)]
     retry_after: Option<Millis>,
+    /// Whether the endpoint has said that it leaves. Such a message also has a `retry_after`, which
+    /// is what a version reads that does not know this member.
+    #[serde(default)]
+    leaving: bool,
+    /// Whether the sender reads [`TunnelAnswer::EndpointLeaving`].
+    #[serde(default)]
+    pub(crate) reads_leaving: bool,
+}
+
+/// Time for which a host of a version that does not know that endpoints leave sends nothing to one, in
+/// milliseconds.
+const LEAVING_RETRY_AFTER: Millis = 5_000;
+
+/// What an endpoint has said in an answer that came through a tunnel, for the tunnel's host.
+#[derives::value]
+pub enum HostReport {
+    /// It wants no requests from the host for a time, in milliseconds.
+    Refused(EndpointId, Millis),
+    /// It leaves.
+    Leaving(EndpointId),
 }
 
 /// First message to an instance on its port for tunnels.
 pub(crate) enum TunnelCall {
     /// Opens a tunnel to the endpoint.
     Open(EndpointId),
-    /// The endpoint wants no requests from this instance for a time, in milliseconds.
-    Refused(EndpointId, Millis),
+    /// Reports what an endpoint has said.
+    Report(HostReport),
 }
 
 impl From<TunnelCall> for TunnelRequest {
     fn from(call: TunnelCall) -> Self {
-        let (endpoint, retry_after) = match call {
-            TunnelCall::Open(endpoint) => (endpoint, None),
-            TunnelCall::Refused(endpoint, retry_after) => (endpoint, Some(retry_after)),
+        let (endpoint, retry_after, leaving) = match call {
+            TunnelCall::Open(endpoint) => (endpoint, None, false),
+            TunnelCall::Report(HostReport::Refused(endpoint, retry_after)) => {
+                (endpoint, Some(retry_after), false)
+            }
+            TunnelCall::Report(HostReport::Leaving(endpoint)) => {
+                (endpoint, Some(LEAVING_RETRY_AFTER), true)
+            }
         };
         Self {
             endpoint: endpoint.as_str().to_owned(),
             retry_after,
+            leaving,
+            reads_leaving: true,
         }
     }
 }
@@ -61,7 +90,8 @@
         let endpoint = EndpointId::new(request.endpoint);
         match request.retry_after {
             None => Self::Open(endpoint),
-            Some(retry_after) => Self::Refused(endpoint, retry_after),
+            Some(_) if request.leaving => Self::Report(HostReport::Leaving(endpoint)),
+            Some(retry_after) => Self::Report(HostReport::Refused(endpoint, retry_after)),
         }
     }
 }
@@ -74,9 +104,20 @@
     UnknownEndpoint,
     EndpointUnreachable,
     EndpointHeld,
+    EndpointLeaving,
     Unavailable,
 }
 
+impl TunnelAnswer {
+    /// The answer as a version reads it that does not know that endpoints leave.
+    pub(crate) fn without_leaving(self) -> Self {
+        match self {
+            Self::EndpointLeaving => Self::EndpointHeld,
+            answer => answer,
+        }
+    }
+}
+
 impl From<Result<(), TunnelRefusal>> for TunnelAnswer {
     fn from(result: Result<(), TunnelRefusal>) -> Self {
         match result {
@@ -84,6 +125,7 @@
             Err(TunnelRefusal::UnknownEndpoint) => Self::UnknownEndpoint,
             Err(TunnelRefusal::EndpointUnreachable) => Self::EndpointUnreachable,
             Err(TunnelRefusal::EndpointHeld) => Self::EndpointHeld,
+            Err(TunnelRefusal::EndpointLeaving) => Self::EndpointLeaving,
             Err(TunnelRefusal::Unavailable) => Self::Unavailable,
         }
     }
@@ -96,6 +138,7 @@
             TunnelAnswer::UnknownEndpoint => Err(TunnelRefusal::UnknownEndpoint),
             TunnelAnswer::EndpointUnreachable => Err(TunnelRefusal::EndpointUnreachable),
             TunnelAnswer::EndpointHeld => Err(TunnelRefusal::EndpointHeld),
+            TunnelAnswer::EndpointLeaving => Err(TunnelRefusal::EndpointLeaving),
             TunnelAnswer::Unavailable => Err(TunnelRefusal::Unavailable),
         }
     }
--- a/crates/peer/src/tunnel_server.rs
+++ b/crates/peer/src/tunnel_server.rs
@@ -7,14 +7,14 @@
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
 use futures::{Sink, SinkExt, Stream, StreamExt};
-use policy::ids::{EndpointId, Millis};
+use policy::ids::EndpointId;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
 use crate::tunnel_message::{
-    TunnelAnswer, TunnelCall, TunnelRefusal, TunnelRequest, broken_off, frame_codec,
+    HostReport, TunnelAnswer, TunnelCall, TunnelRefusal, TunnelRequest, broken_off, frame_codec,
 };
 
 /// Largest number of bytes in a frame.
@@ -42,9 +42,8 @@
         endpoint: EndpointId,
     ) -> LocalBoxFuture<'_, Result<TunnelTarget, TunnelRefusal>>;
 
-    /// Records that `endpoint` has refused a request that came through a tunnel of this instance, and
-    /// wants none from it for `retry_after` milliseconds.
-    fn endpoint_refused(&self, endpoint: &EndpointId, retry_after: Millis);
+    /// Records what an endpoint has said in an answer that came through a tunnel of this instance.
+    fn told(&self, report: HostReport);
 }
 
 /// Serves tunnels on `listener`. Runs on the calling thread and never returns; connections are
@@ -73,16 +72,21 @@
     let mut frames = Framed::new(stream, frame_codec());
     let first = timeout(REQUEST_TIMEOUT, frames.next()).await?;
     let request: TunnelRequest = serde_json::from_slice(&first.ok_or_else(broken_off)??)?;
+    let reads_leaving = request.reads_leaving;
     let endpoint = match TunnelCall::from(request) {
         TunnelCall::Open(endpoint) => endpoint,
-        TunnelCall::Refused(endpoint, retry_after) => {
-            handler.endpoint_refused(&endpoint, retry_after);
+        TunnelCall::Report(report) => {
+            handler.told(report);
             return Ok(());
         }
     };
     let connected = handler.connect(endpoint).await;
     let result = connected.as_ref().map(|_| ()).map_err(|refusal| *refusal);
-    let answer = serde_json::to_vec(&TunnelAnswer::from(result))?;
+    let mut answer = TunnelAnswer::from(result);
+    if !reads_leaving {
+        answer = answer.without_leaving();
+    }
+    let answer = serde_json::to_vec(&answer)?;
     frames.send(Bytes::from(answer)).await?;
     let Ok(TunnelTarget { stream, guard }) = connected else {
         return Ok(());
--- /dev/null
+++ b/crates/peer/tests/tunnel_messages.rs
@@ -0,0 +1,134 @@
+//! Messages about tunnels between instances of different versions.
+
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::LocalBoxFuture;
+use futures::{FutureExt, SinkExt, StreamExt};
+use jackdawpoint_peer::{
+    HostReport, TunnelHandler, TunnelRefusal, TunnelTarget, report_to_host, serve_tunnels,
+};
+use policy::ids::EndpointId;
+use serde::Deserialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// A host that knows that the endpoint leaves.
+#[derive(Default)]
+struct LeavingHost {
+    reports: RefCell<Vec<HostReport>>,
+}
+
+impl TunnelHandler for LeavingHost {
+    fn connect(
+        &self,
+        _endpoint: EndpointId,
+    ) -> LocalBoxFuture<'_, Result<TunnelTarget, TunnelRefusal>> {
+        async { Err(TunnelRefusal::EndpointLeaving) }.boxed_local()
+    }
+
+    fn told(&self, report: HostReport) {
+        self.reports.borrow_mut().push(report);
+    }
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+    let listener = listener.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    (listener, address)
+}
+
+fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    Framed::new(stream, LengthDelimitedCodec::new())
+}
+
+/// Sends a message and returns the answer, if there is one.
+async fn exchange(address: SocketAddr, message: &'static str) -> Option<String> {
+    let stream = TcpStream::connect(address).await.expect("the host listens");
+    let mut frames = framed(stream);
+    let sent = frames.send(Bytes::from_static(message.as_bytes())).await;
+    sent.expect("the host reads");
+    let answer = frames.next().await?.ok()?;
+    Some(String::from_utf8_lossy(&answer).into_owned())
+}
+
+#[tokio::test]
+async fn host_answers_and_reads_each_version_in_its_own_words() {
+    struct Case {
+        name: &'static str,
+        message: &'static str,
+        answer: Option<&'static str>,
+        report: Option<HostReport>,
+    }
+    let endpoint = || EndpointId::new("a");
+    let cases = [
+        Case {
+            name: "request of a version that does not know that endpoints leave",
+            message: r#"{"endpoint":"a"}"#,
+            answer: Some(r#""endpoint_held""#),
+            report: None,
+        },
+        Case {
+            name: "request of a version that knows it",
+            message: r#"{"endpoint":"a","reads_leaving":true,"member_of_a_later_version":1}"#,
+            answer: Some(r#""endpoint_leaving""#),
+            report: None,
+        },
+        Case {
+            name: "refusal",
+            message: r#"{"endpoint":"a","retry_after":700}"#,
+            answer: None,
+            report: Some(HostReport::Refused(endpoint(), 700)),
+        },
+        Case {
+            name: "leaving",
+            message: r#"{"endpoint":"a","retry_after":5000,"leaving":true}"#,
+            answer: None,
+            report: Some(HostReport::Leaving(endpoint())),
+        },
+    ];
+    let checks = async {
+        for case in cases {
+            let (listener, address) = listen().await;
+            let host = Rc::new(LeavingHost::default());
+            let serving = tokio::task::spawn_local(serve_tunnels(listener, host.clone()));
+            let answer = exchange(address, case.message).await;
+            assert_eq!(answer.as_deref(), case.answer, "{}", case.name);
+            let reports = host.reports.borrow();
+            assert_eq!(reports.first(), case.report.as_ref(), "{}", case.name);
+            serving.abort();
+        }
+    };
+    LocalSet::new().run_until(checks).await;
+}
+
+/// A request as a version reads it that does not know that endpoints leave.
+#[derive(Debug, PartialEq, Deserialize)]
+struct EarlierRequest {
+    endpoint: String,
+    #[serde(default)]
+    retry_after: Option<u64>,
+}
+
+/// An earlier version takes a message without a retry-after for the request of a tunnel.
+#[tokio::test]
+async fn earlier_version_reads_that_an_endpoint_leaves_as_a_refusal() {
+    let (listener, address) = listen().await;
+    let report = HostReport::Leaving(EndpointId::new("a"));
+    let limit = Duration::from_secs(2);
+    let reading = async {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let message = framed(stream).next().await.expect("a message");
+        let message = message.expect("a whole message");
+        serde_json::from_slice::<EarlierRequest>(&message).expect("an earlier version reads it")
+    };
+    let (told, request) = futures::join!(report_to_host(address, &report, limit), reading);
+    told.expect("the message was sent");
+    assert_eq!(request.endpoint, "a");
+    assert!(request.retry_after.is_some_and(|time| time >= 2_000));
+}
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -23,6 +23,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use ntex::http::StatusCode;
+use peer::HostReport;
 use policy::catalog::RepeatRule;
 use policy::dispatch::placement::{EndpointTarget, RunOutcome};
 use policy::ids::EndpointId;
@@ -31,8 +32,9 @@
 use tokio::time::Instant;
 use transport::ExchangeError;
 
-use crate::endpoint_backoffs::EndpointBackoffs;
+use crate::dialect::LeavingStatement;
 use crate::endpoint_connector::{ConnectError, EndpointConnector, OpenConnection, TunnelUse};
+use crate::endpoint_gate::{EndpointGate, GateRefusal};
 
 /// Longest time for which an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -73,14 +75,14 @@
     pub body: Bytes,
     /// Whether the request may run more than once.
     pub repeat: RepeatRule,
-    /// Whether the request waits for a time that the endpoint has stated.
-    pub backoff: BackoffRule,
+    /// Whether the request is sent only if requests may go to the endpoint.
+    pub gate: GateRule,
 }
 
-/// Whether a request is held back while its endpoint wants none.
+/// Whether a request is not sent while its endpoint leaves or wants none.
 #[derives::tag]
-pub enum BackoffRule {
-    /// It is held back.
+pub enum GateRule {
+    /// It is not sent.
     Observed,
     /// It is sent regardless: it belongs to a run that the endpoint has accepted.
     Ignored,
@@ -100,7 +102,7 @@
 /// idle connection is never mistaken for a lost answer.
 pub struct EndpointConnections {
     connector: Rc<EndpointConnector>,
-    backoffs: Rc<EndpointBackoffs>,
+    gate: Rc<EndpointGate>,
     /// Bytes of the answers that are being read.
     buffered: Rc<Cell<usize>>,
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
@@ -139,7 +141,7 @@
 struct ConnectionGuard {
     endpoint: EndpointId,
     address: SocketAddr,
-    backoffs: Rc<EndpointBackoffs>,
+    gate: Rc<EndpointGate>,
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
@@ -188,8 +190,8 @@
 pub enum SendError {
     /// This instance has no path to the endpoint, and nothing was sent.
     NoPath,
-    /// The endpoint wants no requests from this instance now, and nothing was sent.
-    Held,
+    /// Nothing may be sent to the endpoint now, and nothing was.
+    Closed(GateRefusal),
     /// The exchange failed.
     Exchange(ExchangeError),
 }
@@ -287,12 +289,13 @@
 }
 
 impl EndpointConnections {
-    /// Creates an empty pool whose connections `connector` opens. `backoffs` hears of all refusals.
+    /// Creates an empty pool whose connections `connector` opens. `gate` is asked before
+    /// each send, and reads the heads of all answers.
     #[must_use]
-    pub fn new(connector: Rc<EndpointConnector>, backoffs: Rc<EndpointBackoffs>) -> Self {
+    pub fn new(connector: Rc<EndpointConnector>, gate: Rc<EndpointGate>) -> Self {
         Self {
             connector,
-            backoffs,
+            gate,
             buffered: Rc::default(),
             idle: Rc::default(),
         }
@@ -310,11 +313,11 @@
     ///
     /// The error states whether any bytes may have been sent.
     pub async fn send(&self, call: ForwardRequest<'_>) -> Result<EndpointAnswer, SendError> {
-        self.check_held(&call)?;
+        self.check_gate(&call)?;
         let mut request = build_request(&call)?;
         if call.repeat == RepeatRule::Repeatable {
             while let Some(guard) = self.take_idle(call.target) {
-                self.check_held(&call)?;
+                self.check_gate(&call)?;
                 match exchange(guard, request).await {
                     Ok(answer) => return Ok(answer),
                     // The pooled connection was already closed, and nothing was sent.
@@ -324,22 +327,26 @@
             }
         }
         let guard = self.connect(call.target).await?;
-        // The endpoint may have refused another request while this one waited for its connection.
-        self.check_held(&call)?;
+        // Another answer may have closed the gate while this request waited for its connection.
+        self.check_gate(&call)?;
         let answered = exchange(guard, request).await;
         answered.map_err(|(error, _)| error.into())
     }
 
-    fn check_held(&self, call: &ForwardRequest<'_>) -> Result<(), SendError> {
+    fn check_gate(&self, call: &ForwardRequest<'_>) -> Result<(), SendError> {
         let endpoint = &call.target.endpoint;
-        if call.backoff == BackoffRule::Ignored || !self.backoffs.holds(endpoint) {
+        if call.gate == GateRule::Ignored {
             return Ok(());
         }
+        let Some(refusal) = self.gate.refusal(endpoint) else {
+            return Ok(());
+        };
         spdlog::info!("request held back", kv: {
             endpoint = endpoint.as_str(),
             path = call.path_and_query,
+            cause:? = refusal,
         });
-        Err(SendError::Held)
+        Err(SendError::Closed(refusal))
     }
 
     fn take_idle(&self, target: &EndpointTarget) -> Option<ConnectionGuard> {
@@ -364,7 +371,7 @@
             return Some(ConnectionGuard {
                 endpoint: target.endpoint.clone(),
                 address,
-                backoffs: Rc::clone(&self.backoffs),
+                gate: Rc::clone(&self.gate),
                 sender: Some(connection.sender),
                 task: connection.task,
                 idle: Rc::clone(&self.idle),
@@ -395,6 +402,10 @@
         let opened = self.connector.connect(target).await;
         let OpenConnection { stream, tunnel } = opened.map_err(|error| match error {
             ConnectError::EndpointLost => SendError::Exchange(ExchangeError::NotSent),
+            ConnectError::EndpointLeaving => {
+                self.gate.endpoint_leaves(&target.endpoint, "tunnel host");
+                SendError::Closed(GateRefusal::Departed)
+            }
             ConnectError::NoPath => SendError::NoPath,
         })?;
         let handshaken = handshake(TokioIo::new(stream)).await;
@@ -406,7 +417,7 @@
         Ok(ConnectionGuard {
             endpoint: target.endpoint.clone(),
             address: target.address,
-            backoffs: Rc::clone(&self.backoffs),
+            gate: Rc::clone(&self.gate),
             sender: Some(sender),
             task: task.abort_handle(),
             idle: Rc::clone(&self.idle),
@@ -495,9 +506,15 @@
         }
     }
     let status = StatusCode::from_u16(head.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
-    let refused_for = guard.backoffs.read(&guard.endpoint, status, &headers);
-    if let (Some(retry_after), Some(tunnel)) = (refused_for, &guard.tunnel) {
-        tunnel.report_refusal(&guard.endpoint, retry_after);
+    let statement = guard.gate.read_answer(&guard.endpoint, status, &headers);
+    if let Some(tunnel) = &guard.tunnel {
+        // The endpoint means the instance from which the request reached it.
+        if let Some(retry_after) = statement.retry_after {
+            tunnel.report(HostReport::Refused(guard.endpoint.clone(), retry_after));
+        }
+        if statement.leaving == LeavingStatement::Leaving {
+            tunnel.report(HostReport::Leaving(guard.endpoint.clone()));
+        }
     }
     let is_tunnelled = guard.tunnel.is_some();
     EndpointAnswer {
@@ -560,7 +577,7 @@
     let error = match error {
         SendError::NoPath => return (RunOutcome::NoPath, RetryReason::ConnectFailed),
         // As with a lack of paths, this says nothing new about the endpoint.
-        SendError::Held => return (RunOutcome::NoPath, RetryReason::EndpointRefused),
+        SendError::Closed(_) => return (RunOutcome::NoPath, RetryReason::EndpointRefused),
         SendError::Exchange(error) => error,
     };
     match error {
--- a/crates/relay/src/core/crashes.rs
+++ b/crates/relay/src/core/crashes.rs
@@ -98,7 +98,7 @@
 
     /// Attributes the loss of endpoints to the runs that fell silent on them.
     pub(super) fn attribute_losses(&self, now: Millis) {
-        let endpoint_view = self.endpoint_view.borrow();
+        let endpoint_view = self.gate().view().borrow();
         self.attribute_loss(|endpoint| endpoint_view.is_lost(endpoint), now);
     }
 
@@ -143,7 +143,7 @@
         let fingerprint = fingerprints.exact;
         let now = self.now();
         let mut crashes = self.dependencies.crashes.borrow_mut();
-        let is_lost = self.endpoint_view.borrow().is_lost(endpoint);
+        let is_lost = self.gate().view().borrow().is_lost(endpoint);
         let parts = &request.head.shared_parts;
         let has_written = progress.has_written(now);
         match outcome {
--- a/crates/relay/src/core/endpoints.rs
+++ b/crates/relay/src/core/endpoints.rs
@@ -7,6 +7,7 @@
 use rand::seq::IteratorRandom;
 
 use super::RelayCore;
+use crate::endpoint_gate::LeavingListener;
 use crate::endpoint_view::{EndpointView, ViewChange};
 use crate::placement_router::EndpointListener;
 
@@ -16,12 +17,21 @@
     }
 }
 
+impl LeavingListener for RelayCore {
+    /// Tells the stewards what an endpoint has said to this instance.
+    fn endpoint_leaves(&self, endpoint: &EndpointId, heard_from: &str) {
+        if self.mark_leaving(endpoint, heard_from) == ViewChange::Changed {
+            self.placement().report_leaving(endpoint);
+        }
+    }
+}
+
 impl RelayCore {
     /// Applies `change` to the view of the endpoints and distributes the endpoints if the view
     /// changed.
     pub fn update_endpoints(&self, change: impl FnOnce(&mut EndpointView, Millis) -> ViewChange) {
         let now = self.now();
-        let changed = change(&mut self.endpoint_view.borrow_mut(), now);
+        let changed = change(&mut self.gate().view().borrow_mut(), now);
         if changed == ViewChange::Changed {
             self.distribute_endpoints();
             self.attribute_losses(now);
@@ -33,7 +43,7 @@
         let Some(catalog) = self.catalog() else {
             return;
         };
-        let endpoint_view = self.endpoint_view.borrow();
+        let endpoint_view = self.gate().view().borrow();
         let connector = self.connections().connector();
         connector.set_endpoints(endpoint_view.len(), |endpoint| {
             endpoint_view.target(endpoint).is_some()
@@ -59,17 +69,17 @@
     /// Known endpoints that are not in `listed`.
     #[must_use]
     pub fn unlisted(&self, listed: &[EndpointId]) -> Vec<EndpointId> {
-        self.endpoint_view.borrow().unlisted(listed)
+        self.gate().view().borrow().unlisted(listed)
     }
 
     /// Id and address of a known endpoint.
     pub(crate) fn endpoint_target(&self, endpoint: &EndpointId) -> Option<EndpointTarget> {
-        self.endpoint_view.borrow().target(endpoint)
+        self.gate().view().borrow().target(endpoint)
     }
 
     /// Up to `count` known endpoints other than `endpoint`, chosen at random.
     pub(crate) fn other_targets(&self, endpoint: &EndpointId, count: usize) -> Vec<EndpointTarget> {
-        let endpoint_view = self.endpoint_view.borrow();
+        let endpoint_view = self.gate().view().borrow();
         let mut random = self.random.borrow_mut();
         let others = endpoint_view
             .targets()
@@ -91,20 +101,12 @@
 
     /// Whether the endpoint was removed recently without having been seen leaving.
     pub(crate) fn is_lost(&self, target: &EndpointTarget) -> bool {
-        self.endpoint_view.borrow().is_lost(&target.endpoint)
+        self.gate().view().borrow().is_lost(&target.endpoint)
     }
 
     /// Whether the endpoint is leaving or was removed recently.
     pub(crate) fn is_departed(&self, endpoint: &EndpointId) -> bool {
-        self.endpoint_view.borrow().is_departed(endpoint)
-    }
-
-    /// Records that an endpoint has said in an answer to this instance that it leaves, and tells the
-    /// stewards.
-    pub(crate) fn heard_leaving(&self, endpoint: &EndpointId) {
-        if self.mark_leaving(endpoint, "answer") == ViewChange::Changed {
-            self.placement().report_leaving(endpoint);
-        }
+        self.gate().view().borrow().is_departed(endpoint)
     }
 
     pub(super) fn mark_leaving(&self, endpoint: &EndpointId, heard_from: &str) -> ViewChange {
@@ -161,11 +163,11 @@
 
     /// Time until the first endpoint of `pool` takes requests again, if all that are left are held.
     pub(crate) fn backoff_wait(&self, pool: &PoolId) -> Option<Millis> {
-        let listed = self.endpoint_view.borrow().in_pool(pool);
+        let listed = self.gate().view().borrow().in_pool(pool);
         let is_usable = |endpoint: &EndpointId| {
             let info = listed.iter().find(|info| info.target.endpoint == *endpoint);
             info.is_some_and(|info| info.state == EndpointState::Ready)
         };
-        self.backoffs().shortest_wait(is_usable)
+        self.gate().backoffs().shortest_wait(is_usable)
     }
 }
--- a/crates/relay/src/core/mod.rs
+++ b/crates/relay/src/core/mod.rs
@@ -26,7 +26,7 @@
 use crate::counters::RelayCounters;
 use crate::crash_registry::CrashRegistry;
 use crate::dialect::WireDialect;
-use crate::endpoint_backoffs::EndpointBackoffs;
+use crate::endpoint_gate::EndpointGate;
 use crate::endpoint_view::EndpointView;
 use crate::placement::{DispatcherDriver, PlacementClient};
 use crate::request::RelayRequest;
@@ -66,8 +66,8 @@
     pub dialect: Rc<dyn WireDialect>,
     /// Connection pool for endpoints.
     pub connections: Rc<EndpointConnections>,
-    /// Endpoints that want no requests from this instance for a time.
-    pub backoffs: Rc<EndpointBackoffs>,
+    /// The endpoints, and whether requests may go to them now.
+    pub gate: Rc<EndpointGate>,
     /// Runs this instance's own dispatcher.
     pub driver: Rc<DispatcherDriver>,
     /// Sends the placement requests of this instance to a dispatcher.
@@ -90,7 +90,6 @@
     /// When the platform's store last confirmed that the known configuration and endpoints are
     /// current.
     confirmed_at: Cell<Millis>,
-    endpoint_view: RefCell<EndpointView>,
     balancers: RefCell<HashMap<PoolId, CallBalancer>>,
     retries: RefCell<BudgetTable<PoolId>>,
     phase: Cell<RelayPhase>,
@@ -110,7 +109,6 @@
             dependencies,
             catalog: RefCell::new(None),
             confirmed_at: Cell::new(0),
-            endpoint_view: RefCell::new(EndpointView::new()),
             balancers: RefCell::new(HashMap::new()),
             retries: RefCell::new(BudgetTable::new(CALL_RETRY_LIMITS)),
             phase: Cell::new(RelayPhase::Starting),
@@ -235,9 +233,9 @@
         &self.dependencies.connections
     }
 
-    /// Endpoints that want no requests from this instance for a time.
-    pub(crate) fn backoffs(&self) -> &EndpointBackoffs {
-        &self.dependencies.backoffs
+    /// The endpoints, and whether requests may go to them now.
+    pub(crate) fn gate(&self) -> &EndpointGate {
+        &self.dependencies.gate
     }
 
     pub(crate) fn placement(&self) -> &dyn PlacementClient {
@@ -272,7 +270,7 @@
         excluded: &[EndpointId],
     ) -> Option<EndpointTarget> {
         let draw = self.draw();
-        let excluded = [excluded, &self.backoffs().held()].concat();
+        let excluded = [excluded, &self.gate().backoffs().held()].concat();
         let mut balancers = self.balancers.borrow_mut();
         balancers
             .get_mut(service)?
--- a/crates/relay/src/endpoint_backoffs.rs
+++ b/crates/relay/src/endpoint_backoffs.rs
@@ -1,32 +1,27 @@
 //! Endpoints that want no requests from this instance for a time, shared by all that sends to them.
 
 use std::cell::RefCell;
-use std::rc::Rc;
 
-use ntex::http::{HeaderMap, StatusCode};
 use policy::backoff::BackoffTable;
 use policy::ids::{EndpointId, Millis};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use crate::clock::BootClock;
-use crate::dialect::WireDialect;
 
 /// The retry-afters that endpoints have stated to this instance.
-pub struct EndpointBackoffs {
+pub(crate) struct EndpointBackoffs {
     clock: BootClock,
-    dialect: Rc<dyn WireDialect>,
     table: RefCell<BackoffTable>,
     random: RefCell<SmallRng>,
 }
 
 impl EndpointBackoffs {
-    /// Creates an empty set; `clock` is that of the relay, and `dialect` reads answers.
+    /// Creates an empty set; `clock` is that of the relay.
     #[must_use]
-    pub fn new(clock: BootClock, dialect: Rc<dyn WireDialect>) -> Self {
+    pub(crate) fn new(clock: BootClock) -> Self {
         Self {
             clock,
-            dialect,
             table: RefCell::new(BackoffTable::new()),
             random: RefCell::new(SmallRng::from_os_rng()),
         }
@@ -49,22 +44,6 @@
         table.shortest_wait(is_usable, self.clock.now())
     }
 
-    /// Reads the head of an answer of `endpoint`, whichever request it answers. Returns the time, in
-    /// milliseconds, for which the endpoint wants no requests if it states one in a refusal.
-    pub(crate) fn read(
-        &self,
-        endpoint: &EndpointId,
-        status: StatusCode,
-        headers: &HeaderMap,
-    ) -> Option<Millis> {
-        if status != StatusCode::SERVICE_UNAVAILABLE {
-            return None;
-        }
-        let retry_after = self.dialect.read_answer(headers).retry_after?;
-        self.record(endpoint, retry_after, "answer");
-        Some(retry_after)
-    }
-
     /// Records that an endpoint wants no requests from this instance for a time, in milliseconds.
     pub(crate) fn record(&self, endpoint: &EndpointId, retry_after: Millis, heard_from: &str) {
         let now = self.clock.now();
--- a/crates/relay/src/endpoint_connector.rs
+++ b/crates/relay/src/endpoint_connector.rs
@@ -11,10 +11,10 @@
 use futures::StreamExt;
 use futures::future::{Either, join_all, select};
 use futures::stream::FuturesUnordered;
-use peer::{TunnelError, TunnelRefusal, TunnelStream, open_tunnel, report_refusal};
+use peer::{HostReport, TunnelError, TunnelRefusal, TunnelStream, open_tunnel, report_to_host};
 use policy::dispatch::placement::EndpointTarget;
 use policy::endpoint_path::{PathChange, PathPlan, PathProbe, PathTable};
-use policy::ids::{DomainId, EndpointId, Millis};
+use policy::ids::{DomainId, EndpointId};
 use policy::tunnel::{TunnelHost, TunnelTable};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
@@ -44,6 +44,8 @@
 pub enum ConnectError {
     /// The endpoint cannot be reached, as far as is known from anywhere.
     EndpointLost,
+    /// The endpoint leaves, as the host of a tunnel knows.
+    EndpointLeaving,
     /// This instance has no path to the endpoint, which says nothing about it.
     NoPath,
 }
@@ -74,16 +76,15 @@
 }
 
 impl TunnelUse {
-    /// Tells the tunnel's host that `endpoint` has refused a request that came through it, and wants
-    /// none from the host for `retry_after` milliseconds.
-    pub fn report_refusal(&self, endpoint: &EndpointId, retry_after: Millis) {
-        let (host, endpoint) = (self.host.clone(), endpoint.clone());
+    /// Tells the tunnel's host what the endpoint has said in an answer that came through it.
+    pub fn report(&self, report: HostReport) {
+        let host = self.host.clone();
         tokio::task::spawn_local(async move {
-            let told = report_refusal(host.address, &endpoint, retry_after, TUNNEL_TIMEOUT).await;
+            let told = report_to_host(host.address, &report, TUNNEL_TIMEOUT).await;
             if let Err(error) = told {
-                spdlog::info!("tunnel's host not told of a refusal", kv: {
+                spdlog::info!("tunnel's host not told", kv: {
                     host = host.instance.as_str(),
-                    endpoint = endpoint.as_str(),
+                    report:? = report,
                     error:,
                 });
             }
@@ -292,6 +293,9 @@
                     self.paths.borrow_mut().endpoint_lost(&target.endpoint, now);
                     return Err(ConnectError::EndpointLost);
                 }
+                Err(TunnelError::Refused(TunnelRefusal::EndpointLeaving)) => {
+                    return Err(ConnectError::EndpointLeaving);
+                }
                 Err(TunnelError::Refused(TunnelRefusal::UnknownEndpoint)) => {}
                 Err(TunnelError::Refused(TunnelRefusal::EndpointHeld)) => is_held = true,
                 Err(TunnelError::Refused(TunnelRefusal::Unavailable) | TunnelError::Unanswered) => {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 mod dialect;
 mod endpoint_backoffs;
 mod endpoint_connector;
+mod endpoint_gate;
 mod endpoint_view;
 mod events;
 mod forwarded_store;
@@ -31,7 +32,7 @@
 mod tunnel_host;
 
 pub use crate::answer::{RelayFailure, WholeAnswer};
-pub use crate::connections::{BackoffRule, EndpointConnections, ForwardRequest, SendError};
+pub use crate::connections::{EndpointConnections, ForwardRequest, GateRule, SendError};
 pub use crate::core::{RelayCore, RelayDependencies, RelayPhase};
 pub use crate::counters::RelayCounters;
 pub use crate::crash_registry::{CrashNotice, CrashRegistry, QuarantineCause};
@@ -39,8 +40,8 @@
     AnswerHead, AnswerSignature, CallerHead, ForwardHead, ForwardHelper, LeavingStatement,
     PromptSize, RunStatement, WireDialect,
 };
-pub use crate::endpoint_backoffs::EndpointBackoffs;
 pub use crate::endpoint_connector::{ConnectError, EndpointConnector, TunnelDirectory};
+pub use crate::endpoint_gate::{EndpointGate, GateRefusal, LeavingListener};
 pub use crate::endpoint_view::{EndpointView, ViewChange};
 pub use crate::events::{EventSplitter, EventTooLarge, WholeEvent, is_after};
 pub use crate::forwarded_store::{ChangeSource, ForwardedStore};
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -14,9 +14,9 @@
 use transport::ExchangeError;
 
 use crate::answer::{RelayFailure, WholeAnswer, strip_connection_headers};
-use crate::connections::{BackoffRule, ForwardRequest, SendError, exchange_outcome};
+use crate::connections::{ForwardRequest, GateRule, SendError, exchange_outcome};
 use crate::core::{RelayCore, RunFailure};
-use crate::dialect::{AnswerSignature, ForwardHead, LeavingStatement, RunStatement};
+use crate::dialect::{AnswerSignature, ForwardHead, RunStatement};
 use crate::request::RelayRequest;
 
 /// Largest number of endpoints tried for one request, including those that could not be reached.
@@ -272,7 +272,7 @@
         headers: request.forward_headers(core.dialect(), &head),
         body: request.body.clone(),
         repeat: route.repeat,
-        backoff: BackoffRule::Observed,
+        gate: GateRule::Observed,
     };
     let endpoints = &request.trace.endpoints;
     endpoints.borrow_mut().push(guard.target.endpoint.clone());
@@ -318,9 +318,6 @@
     if matches_request && answer.status != StatusCode::MISDIRECTED_REQUEST {
         let sent_at = guard.sent_at.get().unwrap_or(0);
         core.heard_limit(&guard.target.endpoint, head.rate_limit, sent_at);
-        if head.leaving == LeavingStatement::Leaving {
-            core.heard_leaving(&guard.target.endpoint);
-        }
     }
     if answer.status == StatusCode::MISDIRECTED_REQUEST {
         core.endpoint_gone(&guard.target.endpoint);
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -72,7 +72,8 @@
 
 /// Reserves and releases memory on engines.
 pub trait MemoryClient {
-    /// Reserves `tokens` under `id` for `ttl` milliseconds, or renews the reservation.
+    /// Reserves `tokens` under `id` for `ttl` milliseconds, unless nothing may be sent to the engine
+    /// now.
     fn reserve<'a>(
         &'a self,
         engine: &'a EndpointTarget,
@@ -81,6 +82,17 @@
         ttl: u64,
     ) -> LocalBoxFuture<'a, ReserveOutcome>;
 
+    /// Renews the reservation of `tokens` under `id` for `ttl` milliseconds.
+    fn renew<'a>(
+        &'a self,
+        engine: &'a EndpointTarget,
+        id: &'a str,
+        tokens: u64,
+        ttl: u64,
+    ) -> LocalBoxFuture<'a, ReserveOutcome> {
+        self.reserve(engine, id, tokens, ttl)
+    }
+
     /// Releases the memory reserved under `id`.
     fn release<'a>(
         &'a self,
@@ -101,6 +113,10 @@
 impl ReservedPart {
     async fn reserve(&self, client: &dyn MemoryClient, ttl: u64) -> ReserveOutcome {
         let request = client.reserve(&self.engine, &self.id, self.tokens, ttl);
+        self.outcome(request).await
+    }
+
+    async fn outcome(&self, request: LocalBoxFuture<'_, ReserveOutcome>) -> ReserveOutcome {
         let answer = tokio::time::timeout(REQUEST_TIMEOUT, request).await;
         let outcome = answer.unwrap_or(ReserveOutcome::Unanswered);
         if outcome == ReserveOutcome::Unanswered {
@@ -111,7 +127,8 @@
 
     async fn renew(&self, client: &dyn MemoryClient, ttl: u64) {
         for _ in 0..RENEWAL_TRIES {
-            if self.reserve(client, ttl).await != ReserveOutcome::Unanswered {
+            let request = client.renew(&self.engine, &self.id, self.tokens, ttl);
+            if self.outcome(request).await != ReserveOutcome::Unanswered {
                 return;
             }
         }
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -24,6 +24,7 @@
 use self::run_guard::RunGuard;
 use crate::answer::{RelayFailure, WholeAnswer};
 use crate::core::RelayCore;
+use crate::endpoint_gate::GateRefusal;
 use crate::request::RelayRequest;
 use crate::reservation::MemoryReservation;
 
@@ -140,15 +141,14 @@
             let (guard, grant) = self.request_placement().await?;
             // The dispatcher does not know yet that an endpoint is leaving, nor that it wants no
             // requests from this instance.
-            let departed = self.departed_engine(&grant);
-            let outcome = match departed {
-                Some(_) => RunOutcome::NotConnected,
-                None => RunOutcome::NoPath,
-            };
-            if let Some(departed) = departed.or_else(|| self.held_engine(&grant)) {
+            if let Some((closed, refusal)) = self.closed_engine(&grant) {
+                let outcome = match refusal {
+                    GateRefusal::Departed => RunOutcome::NotConnected,
+                    GateRefusal::Held => RunOutcome::NoPath,
+                };
                 let report = RunReport::new(outcome);
-                guard.report(report.with_fault_at(Some(departed.address)));
-                self.excluded.push(departed.endpoint.clone());
+                guard.report(report.with_fault_at(Some(closed.address)));
+                self.excluded.push(closed.endpoint.clone());
                 self.tries += 1;
                 if self.tries >= MAX_TRIES {
                     return Err(self.final_failure(&RunReport::new(outcome)));
@@ -231,7 +231,7 @@
         let Ok(Ok((guard, grant))) = requested else {
             return;
         };
-        if self.departed_engine(&grant).is_some() || self.held_engine(&grant).is_some() {
+        if self.closed_engine(&grant).is_some() {
             return;
         }
         let Ok((run, head)) = self.start_run(guard, &grant).await else {
--- a/crates/relay/src/stream/placing.rs
+++ b/crates/relay/src/stream/placing.rs
@@ -12,6 +12,7 @@
 use super::{MIN_TIME_LEFT, StreamSession, UNREACHABLE_RETRY_AFTER};
 use crate::answer::RelayFailure;
 use crate::dialect::PromptSize;
+use crate::endpoint_gate::GateRefusal;
 
 /// Sizes assumed for a request whose caller states none.
 const DEFAULT_PROMPT_SIZE: PromptSize = PromptSize {
@@ -20,23 +21,14 @@
 };
 
 impl StreamSession {
-    /// An engine of the placement that wants no requests from this instance now; the host first.
-    pub(super) fn held_engine<'a>(&self, grant: &'a PlacementGrant) -> Option<&'a EndpointTarget> {
-        let helpers = grant.helpers.iter().map(|helper| &helper.target);
-        std::iter::once(&grant.host)
-            .chain(helpers)
-            .find(|target| self.core.backoffs().holds(&target.endpoint))
-    }
-
-    /// An engine of the placement that is leaving or was removed; the host first.
-    pub(super) fn departed_engine<'a>(
+    /// An engine of the placement to which nothing may be sent now, and why; the host first.
+    pub(super) fn closed_engine<'a>(
         &self,
         grant: &'a PlacementGrant,
-    ) -> Option<&'a EndpointTarget> {
+    ) -> Option<(&'a EndpointTarget, GateRefusal)> {
         let helpers = grant.helpers.iter().map(|helper| &helper.target);
-        std::iter::once(&grant.host)
-            .chain(helpers)
-            .find(|target| self.core.is_departed(&target.endpoint))
+        let mut engines = std::iter::once(&grant.host).chain(helpers);
+        engines.find_map(|target| Some((target, self.core.gate().refusal(&target.endpoint)?)))
     }
 
     pub(super) async fn request_placement(
@@ -123,7 +115,11 @@
             pause_aim: route.pause_aim,
             time_left: left,
             retry: self.retry,
-            excluded: [self.excluded.as_slice(), &self.core.backoffs().held()].concat(),
+            excluded: [
+                self.excluded.as_slice(),
+                &self.core.gate().backoffs().held(),
+            ]
+            .concat(),
             caller_domain: None,
             fingerprint: request.fingerprints().exact,
         }
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -15,11 +15,9 @@
 use super::run_guard::RunGuard;
 use super::{StreamHead, StreamRun, StreamSession};
 use crate::answer::{WholeAnswer, strip_connection_headers};
-use crate::connections::{
-    AnswerBody, BackoffRule, EndpointAnswer, ForwardRequest, exchange_outcome,
-};
+use crate::connections::{AnswerBody, EndpointAnswer, ForwardRequest, GateRule, exchange_outcome};
 use crate::core::RunFailure;
-use crate::dialect::{AnswerSignature, ForwardHead, ForwardHelper, LeavingStatement, RunStatement};
+use crate::dialect::{AnswerSignature, ForwardHead, ForwardHelper, RunStatement};
 use crate::reservation::MemoryReservation;
 
 /// Slack of the first-event timeout, in milliseconds: a run without a first event is abandoned
@@ -55,6 +53,14 @@
                 return Err(error);
             }
         };
+        if let Some((closed, _)) = self.closed_engine(grant) {
+            // It was learned while the memory was being reserved.
+            let mut error = RunError::new(RunOutcome::NoPath, RetryReason::EndpointRefused);
+            error.report = error.report.with_fault_at(Some(closed.address));
+            self.excluded.push(closed.endpoint.clone());
+            guard.report(error.report.clone());
+            return Err(error);
+        }
         guard.sent(&request, &grant.host.endpoint);
         // Memory that is reserved must not outlive a lost host for long.
         let first_check = match &reservation {
@@ -211,7 +217,7 @@
             headers: request.forward_headers(self.core.dialect(), &head),
             body: request.body.clone(),
             repeat: request.admitted.route.repeat,
-            backoff: BackoffRule::Observed,
+            gate: GateRule::Observed,
         };
         let sent = self.core.connections().send(call).await;
         sent.map_err(|error| {
@@ -235,9 +241,6 @@
         if matches_request && status != StatusCode::MISDIRECTED_REQUEST {
             self.core
                 .heard_limit(&grant.host.endpoint, head.rate_limit, sent_at);
-            if head.leaving == LeavingStatement::Leaving {
-                self.core.heard_leaving(&grant.host.endpoint);
-            }
         }
         if status == StatusCode::MISDIRECTED_REQUEST {
             self.core.endpoint_gone(&grant.host.endpoint);
--- a/crates/relay/src/tunnel_host.rs
+++ b/crates/relay/src/tunnel_host.rs
@@ -5,10 +5,11 @@
 
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
-use peer::{TunnelGuard, TunnelHandler, TunnelRefusal, TunnelTarget};
-use policy::ids::{EndpointId, Millis};
+use peer::{HostReport, TunnelGuard, TunnelHandler, TunnelRefusal, TunnelTarget};
+use policy::ids::EndpointId;
 
 use crate::core::{RelayCore, RelayPhase};
+use crate::endpoint_gate::GateRefusal;
 use crate::handler::InFlightGuard;
 
 /// Largest number of tunnels that are open at once, far below the file descriptors of an instance.
@@ -68,23 +69,34 @@
         let Some(target) = self.core.endpoint_target(&endpoint) else {
             return Err(TunnelRefusal::UnknownEndpoint);
         };
-        // The endpoint counts requests by the instance from which they reach it.
-        if self.core.backoffs().holds(&endpoint) {
-            return Err(TunnelRefusal::EndpointHeld);
-        }
+        self.check_gate(&endpoint)?;
         let guard = HostedTunnel::new(&self.core, &self.open_tunnels);
         let others = self.core.other_targets(&endpoint, CONTACT_COUNT);
         let stream = connector.connect_for_peer(&target, &others).await?;
+        // An answer may have closed the gate meanwhile.
+        self.check_gate(&endpoint)?;
         self.core.counters().hosted_tunnels.inc();
-        spdlog::info!("tunnel hosted", kv: {
-            endpoint = endpoint.as_str(),
-            departed = self.core.is_departed(&endpoint),
-        });
+        spdlog::info!("tunnel hosted", kv: { endpoint = endpoint.as_str() });
         Ok(TunnelTarget {
             stream,
             guard: Box::new(guard),
         })
     }
+
+    /// Refuses a tunnel to an endpoint to which this instance may send nothing: the endpoint counts
+    /// requests by the instance from which they reach it.
+    fn check_gate(&self, endpoint: &EndpointId) -> Result<(), TunnelRefusal> {
+        let refusal = match self.core.gate().refusal(endpoint) {
+            None => return Ok(()),
+            Some(GateRefusal::Departed) => TunnelRefusal::EndpointLeaving,
+            Some(GateRefusal::Held) => TunnelRefusal::EndpointHeld,
+        };
+        spdlog::info!("tunnel refused", kv: {
+            endpoint = endpoint.as_str(),
+            cause:? = refusal,
+        });
+        Err(refusal)
+    }
 }
 
 impl TunnelHandler for EndpointTunnelHost {
@@ -95,7 +107,13 @@
         self.open(endpoint).boxed_local()
     }
 
-    fn endpoint_refused(&self, endpoint: &EndpointId, retry_after: Millis) {
-        self.core.backoffs().record(endpoint, retry_after, "tunnel");
+    fn told(&self, report: HostReport) {
+        let gate = self.core.gate();
+        match report {
+            HostReport::Refused(endpoint, retry_after) => {
+                gate.backoffs().record(&endpoint, retry_after, "tunnel");
+            }
+            HostReport::Leaving(endpoint) => gate.endpoint_leaves(&endpoint, "tunnel"),
+        }
     }
 }
