Take a refusal for a request only if it names it, or comes on a new connection

Cause: the statement that a request did not run was read before the id that says which request is meant. Change: AnswerHead::refuses compares the id first; a refusal without an id counts only on a connection that carried no other request. Status 421 is such a statement by itself, as the platform's rules have it. Ruled out: closing connections after a refusal, which costs a new connection for each and leaves the late copy possible.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -143,6 +143,7 @@
     address: SocketAddr,
     gate: Rc<EndpointGate>,
     sender: Option<SendRequest<Full<Bytes>>>,
+    age: ConnectionAge,
     task: AbortHandle,
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
     keep_for: Duration,
@@ -209,6 +210,17 @@
     pub body: AnswerBody,
     /// Whether the answer comes through a tunnel.
     pub is_tunnelled: bool,
+    /// Whether the connection carried other requests before.
+    pub connection: ConnectionAge,
+}
+
+/// Whether a connection has carried other requests.
+#[derives::tag]
+pub enum ConnectionAge {
+    /// It carries its first request.
+    New,
+    /// An answer to an earlier request may still arrive on it.
+    Reused,
 }
 
 /// Body of an endpoint's answer.
@@ -373,6 +385,7 @@
                 address,
                 gate: Rc::clone(&self.gate),
                 sender: Some(connection.sender),
+                age: ConnectionAge::Reused,
                 task: connection.task,
                 idle: Rc::clone(&self.idle),
                 keep_for: Duration::ZERO,
@@ -419,6 +432,7 @@
             address: target.address,
             gate: Rc::clone(&self.gate),
             sender: Some(sender),
+            age: ConnectionAge::New,
             task: task.abort_handle(),
             idle: Rc::clone(&self.idle),
             keep_for: Duration::ZERO,
@@ -519,6 +533,7 @@
     let is_tunnelled = guard.tunnel.is_some();
     EndpointAnswer {
         is_tunnelled,
+        connection: guard.age,
         status,
         headers,
         body: AnswerBody {
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -2,12 +2,14 @@
 
 use std::net::SocketAddr;
 
-use ntex::http::HeaderMap;
 use ntex::http::header::HeaderName;
+use ntex::http::{HeaderMap, StatusCode};
 use policy::ids::{AccountId, EndpointId, Millis};
 use policy::prompt_part::PromptPart;
 use policy::rate_limit::RequestRate;
 
+use crate::connections::ConnectionAge;
+
 /// Sizes of a prompt and its answer, as stated by the caller.
 #[derives::value]
 pub struct PromptSize {
@@ -88,6 +90,27 @@
     pub leaving: LeavingStatement,
 }
 
+impl AnswerHead {
+    /// Whether the answer names the request `id`, which is empty if the caller gave none.
+    #[must_use]
+    pub fn names_request(&self, id: &str) -> bool {
+        self.request_id.as_deref() == Some(id)
+    }
+
+    /// Whether the endpoint states, in an answer with `status`, that it did not run the request `id`. A
+    /// statement that names no request may be of an earlier one on the same connection.
+    #[must_use]
+    pub fn refuses(&self, id: &str, status: StatusCode, connection: ConnectionAge) -> bool {
+        let is_meant = match &self.request_id {
+            Some(_) => self.names_request(id),
+            None => connection == ConnectionAge::New,
+        };
+        let is_stated =
+            self.statement == RunStatement::NotRun || status == StatusCode::MISDIRECTED_REQUEST;
+        is_meant && is_stated && !status.is_success()
+    }
+}
+
 /// Whether an endpoint says in an answer that it leaves.
 #[derives::tag]
 pub enum LeavingStatement {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -32,7 +32,9 @@
 mod tunnel_host;
 
 pub use crate::answer::{RelayFailure, WholeAnswer};
-pub use crate::connections::{EndpointConnections, ForwardRequest, GateRule, SendError};
+pub use crate::connections::{
+    ConnectionAge, EndpointConnections, ForwardRequest, GateRule, SendError,
+};
 pub use crate::core::{RelayCore, RelayDependencies, RelayPhase};
 pub use crate::counters::RelayCounters;
 pub use crate::crash_registry::{CrashNotice, CrashRegistry, QuarantineCause};
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -14,9 +14,9 @@
 use transport::ExchangeError;
 
 use crate::answer::{RelayFailure, WholeAnswer, strip_connection_headers};
-use crate::connections::{ForwardRequest, GateRule, SendError, exchange_outcome};
+use crate::connections::{ConnectionAge, ForwardRequest, GateRule, SendError, exchange_outcome};
 use crate::core::{RelayCore, RunFailure};
-use crate::dialect::{AnswerSignature, ForwardHead, RunStatement};
+use crate::dialect::{AnswerSignature, ForwardHead};
 use crate::request::RelayRequest;
 
 /// Largest number of endpoints tried for one request, including those that could not be reached.
@@ -284,17 +284,18 @@
         let mut headers = answer.headers;
         strip_connection_headers(&mut headers);
         let max_bytes = request.catalog.bounds().body_bytes;
-        Ok(WholeAnswer {
+        let whole = WholeAnswer {
             status: answer.status,
             headers,
             body: answer.body.read_whole(max_bytes).await?,
-        })
+        };
+        Ok((whole, answer.connection))
     };
     let timed = tokio::time::timeout(Duration::from_millis(timeout), exchange).await;
-    let answer = timed
+    let (answer, connection) = timed
         .unwrap_or(Err(ExchangeError::Silent.into()))
         .map_err(exchange_error)?;
-    validate_answer(core, request, guard, answer)
+    validate_answer(core, request, guard, answer, connection)
 }
 
 fn exchange_error(error: SendError) -> CallError {
@@ -312,17 +313,20 @@
     request: &RelayRequest,
     guard: &CallGuard,
     answer: WholeAnswer,
+    connection: ConnectionAge,
 ) -> Result<WholeAnswer, CallError> {
     let head = core.dialect().read_answer(&answer.headers);
-    let matches_request = head.request_id.as_deref() == Some(request.head.request_id.as_str());
+    let id = request.head.request_id.as_str();
+    let matches_request = head.names_request(id);
+    let is_refused = head.refuses(id, answer.status, connection);
     if matches_request && answer.status != StatusCode::MISDIRECTED_REQUEST {
         let sent_at = guard.sent_at.get().unwrap_or(0);
         core.heard_limit(&guard.target.endpoint, head.rate_limit, sent_at);
     }
-    if answer.status == StatusCode::MISDIRECTED_REQUEST {
-        core.endpoint_gone(&guard.target.endpoint);
-    }
-    if head.statement == RunStatement::NotRun && !answer.status.is_success() {
+    if is_refused {
+        if answer.status == StatusCode::MISDIRECTED_REQUEST {
+            core.endpoint_gone(&guard.target.endpoint);
+        }
         return Err(CallError::new(
             RunOutcome::Refused,
             MayHaveRun::No,
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -17,7 +17,7 @@
 use crate::answer::{WholeAnswer, strip_connection_headers};
 use crate::connections::{AnswerBody, EndpointAnswer, ForwardRequest, GateRule, exchange_outcome};
 use crate::core::RunFailure;
-use crate::dialect::{AnswerSignature, ForwardHead, ForwardHelper, RunStatement};
+use crate::dialect::{AnswerSignature, ForwardHead, ForwardHelper};
 use crate::reservation::MemoryReservation;
 
 /// Slack of the first-event timeout, in milliseconds: a run without a first event is abandoned
@@ -236,16 +236,16 @@
     ) -> Result<(AnswerBody, StreamHead), RunError> {
         let head = self.core.dialect().read_answer(&answer.headers);
         let status = answer.status;
-        let matches_request =
-            head.request_id.as_deref() == Some(self.request.head.request_id.as_str());
+        let id = self.request.head.request_id.as_str();
+        let matches_request = head.names_request(id);
         if matches_request && status != StatusCode::MISDIRECTED_REQUEST {
             self.core
                 .heard_limit(&grant.host.endpoint, head.rate_limit, sent_at);
         }
-        if status == StatusCode::MISDIRECTED_REQUEST {
-            self.core.endpoint_gone(&grant.host.endpoint);
-        }
-        if head.statement == RunStatement::NotRun && !status.is_success() {
+        if head.refuses(id, status, answer.connection) {
+            if status == StatusCode::MISDIRECTED_REQUEST {
+                self.core.endpoint_gone(&grant.host.endpoint);
+            }
             // An endpoint that names another one at fault could not connect to it.
             let outcome = match head.at_fault {
                 Some(_) => RunOutcome::NotConnected,
