Go on with a begun stream only with events that belong to it

Cause: a run that was to go on was judged by its status alone, any bytes up to a blank line were passed on as an event, and an answer without any event counted as the end. Change: a resumed run must answer with a stream of events, and with at least one event; once events carry ids, one without an id is none of the stream, comments excepted, and the run counts as broken. What arrived before a foreign event is passed on first: an error in the same read would have lost events whose ids were already taken as delivered. Known cost: a stream that broke off exactly between its last event and its end is not resumed to an empty end; its caller sees it broken off.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -8,6 +8,9 @@
 /// Prefix of the line that carries an event's id.
 const ID_FIELD: &[u8] = b"id:";
 
+/// Begin of a line that is a comment.
+const COMMENT_FIELD: &[u8] = b":";
+
 /// A complete event, including the blank line that ends it.
 #[derives::value]
 pub struct WholeEvent {
@@ -17,6 +20,15 @@
     pub id: Option<String>,
 }
 
+impl WholeEvent {
+    /// Whether the event has only comments, which servers send to keep a connection open.
+    #[must_use]
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
+        lines.all(|line| line.is_empty() || line.starts_with(COMMENT_FIELD))
+    }
+}
+
 /// An event is larger than 1 MiB.
 #[derives::tag]
 pub struct EventTooLarge;
--- a/crates/relay/src/stream/event_stream.rs
+++ b/crates/relay/src/stream/event_stream.rs
@@ -17,28 +17,38 @@
     pub(super) events: VecDeque<Bytes>,
     pub(super) is_ended: bool,
     has_content: bool,
+    /// Whether the run goes on where an earlier one broke off, so that its first event is due.
+    is_resumed: bool,
+    /// Why nothing more is read, once the events that arrived before have been taken.
+    failed: Option<RetryReason>,
 }
 
 impl EventStream {
-    pub(super) fn new(body: AnswerBody) -> Self {
+    pub(super) fn new(body: AnswerBody, is_resumed: bool) -> Self {
         Self {
             body,
             splitter: EventSplitter::new(),
             events: VecDeque::new(),
             is_ended: false,
             has_content: false,
+            is_resumed,
+            failed: None,
         }
     }
 
-    /// Reads the next chunk; events up to `last_event` are dropped.
+    /// Reads the next chunk; events up to `last_event` are dropped. An error comes after the events
+    /// that arrived before it.
     pub(super) async fn read(&mut self, last_event: &mut Option<String>) -> Result<(), RunError> {
         let broken = |reason| RunError::new(RunOutcome::Broken, reason);
+        if let Some(reason) = self.failed {
+            return Err(broken(reason));
+        }
         match self.body.next_chunk().await {
             BodyChunk::Bytes(bytes) => {
                 self.has_content |= !bytes.is_empty();
-                self.splitter
-                    .push(&bytes)
-                    .map_err(|_| broken(RetryReason::FrameRejected))?;
+                if self.splitter.push(&bytes).is_err() {
+                    self.failed = Some(RetryReason::FrameRejected);
+                }
             }
             BodyChunk::End if self.is_whole() => self.is_ended = true,
             BodyChunk::End | BodyChunk::Broken => return Err(broken(RetryReason::StreamClosed)),
@@ -50,15 +60,23 @@
                     continue;
                 }
                 *last_event = Some(id);
+            } else if last_event.is_some() && !event.is_comment() {
+                // In a stream whose events have ids, this is none of them.
+                self.failed = Some(RetryReason::FrameRejected);
+                break;
             }
             self.events.push_back(event.bytes);
         }
-        Ok(())
+        match self.failed {
+            Some(reason) if self.events.is_empty() => Err(broken(reason)),
+            _ => Ok(()),
+        }
     }
 
     /// Whether a stream that has ended here is whole: not inside an event, and not before the first
-    /// one if its end may be that of the endpoint.
+    /// one if its end may be that of the endpoint, or if the first one is due.
     fn is_whole(&self) -> bool {
-        self.splitter.is_empty() && (self.has_content || !self.body.ends_with_connection())
+        let may_be_empty = !self.is_resumed && !self.body.ends_with_connection();
+        self.splitter.is_empty() && (self.has_content || may_be_empty)
     }
 }
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ntex::http::StatusCode;
+use ntex::http::header::CONTENT_TYPE;
+use ntex::http::{HeaderMap, StatusCode};
 use policy::catalog::RepeatRule;
 use policy::dispatch::placement::{PlacementGrant, RunOutcome};
 use policy::ids::{EndpointId, Millis};
@@ -28,6 +29,15 @@
 /// Time after which the host of a run with reserved memory is checked for the first time.
 const RESERVED_HOST_CHECK: Duration = Duration::from_secs(1);
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let media_type = headers.get(CONTENT_TYPE);
+    let media_type = media_type.and_then(|value| value.to_str().ok());
+    media_type.is_some_and(|value| value.trim().to_ascii_lowercase().starts_with(EVENT_STREAM))
+}
+
 impl StreamSession {
     pub(super) async fn start_run(
         &mut self,
@@ -184,7 +194,7 @@
             tunnels.set(tunnels.get() + 1);
         }
         let (body, head) = self.validate_head(grant, answer, sent_at).await?;
-        let mut stream = EventStream::new(body);
+        let mut stream = EventStream::new(body, self.last_event.is_some());
         while stream.events.is_empty() && !stream.is_ended {
             stream.read(&mut self.last_event).await?;
         }
@@ -264,6 +274,13 @@
         }
         let mut headers = answer.headers;
         strip_connection_headers(&mut headers);
+        if status.is_success() && self.last_event.is_some() && !is_event_stream(&headers) {
+            // It does not go on where the stream broke off.
+            return Err(RunError::new(
+                RunOutcome::Broken,
+                RetryReason::FrameRejected,
+            ));
+        }
         if status.is_success() {
             return Ok((answer.body, StreamHead { status, headers }));
         }
