Soak: returns of the store from copies, silent connections, and a check of what is in force after a return

Each run draws two returns of the store from a copy of 0.3 to 4 s before (away by refusals, by silence, or unnoticed; what the operator and the endpoints wrote is written again 0.3 s later) and two silences of a daemon's open connections to the store, from numbers of their own. After the faults, a version that is published while the new era reaches the revision that the daemons have read must be in force at each within 5 s.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -45,6 +45,11 @@
 /// start within the same time.
 const RECOVERY_TIME: Duration = Duration::from_secs(6);
 
+/// Time for which the store is away before it comes back from a copy, and until what it lost is
+/// written again.
+const AWAY_TIME: Duration = Duration::from_millis(400);
+const REWRITE_TIME: Duration = Duration::from_millis(300);
+
 /// Interval of the calls that crash endpoints, and time for which a crashed endpoint is missing.
 const CRASH_INTERVAL: Duration = Duration::from_millis(700);
 
@@ -133,6 +138,7 @@
     environment.check_limits(&mut violations).await;
     environment.check_leaving(&mut violations).await;
     restarting.abort();
+    environment.check_restore(&mut violations).await;
     environment.check_after_recovery(&mut violations).await;
     let runs = environment.runs();
     let calls = environment.calls.borrow();
@@ -393,6 +399,17 @@
                 self.store.set_fault(StoreFault::None);
             }
             SoakFault::Compact => self.store.compact(),
+            SoakFault::Restore(way) => {
+                let copy = self.store.copy();
+                tokio::time::sleep(length).await;
+                self.store.set_fault(way);
+                let lost = self.store.restore(&copy);
+                tokio::time::sleep(AWAY_TIME).await;
+                self.store.set_fault(StoreFault::None);
+                tokio::time::sleep(REWRITE_TIME).await;
+                self.store.write_again(lost);
+            }
+            SoakFault::Silence(daemon) => self.store_paths[daemon].silence_open(),
             SoakFault::StorePath(daemon, mode) => {
                 self.store_paths[daemon].set_mode(mode);
                 tokio::time::sleep(length).await;
--- a/crates/soak/src/run/final_checks.rs
+++ b/crates/soak/src/run/final_checks.rs
@@ -2,17 +2,25 @@
 
 use std::time::{Duration, Instant};
 
-use adapter_standin::ProxyMode;
+use adapter_standin::{ProxyMode, StoreFault};
 use futures::future::join_all;
 use ntex::http::StatusCode;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use super::{CRASH_INTERVAL, EVENT_INTERVAL, SoakEnvironment};
+use super::{AWAY_TIME, CRASH_INTERVAL, EVENT_INTERVAL, SoakEnvironment};
 use crate::caller::{CallKind, CallOutcome, SoakCaller};
 use crate::check::{DRAIN_TIME, Violation};
 use crate::schedule::{CutScope, draw_cut};
 
+/// Changes that a copy of the store lacks, and time between two changes after its return.
+const LOST_CHANGES: usize = 12;
+const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time from a version to its effect, after the store came back: three seconds until the instances
+/// count as in touch again, and two for the version.
+const RESTORE_EFFECT_TIME: Duration = Duration::from_secs(5);
+
 /// Time within which every daemon must apply a configuration change, including the time that
 /// querying all daemons takes.
 const CONFIG_APPLY_TIME: Duration = Duration::from_millis(2_200);
@@ -322,6 +330,41 @@
         tokio::time::sleep(Duration::from_secs(1)).await;
     }
 
+    /// Checks that a version takes effect that is published right after the store came back from a
+    /// copy, although the new era soon reaches the revision that the daemons have read.
+    pub(super) async fn check_restore(&self, violations: &mut Vec<Violation>) {
+        let copy = self.store.copy();
+        let change = |number: usize| {
+            let key = format!("jackdawpoint/other/{number}");
+            self.store.put(&key, "changed");
+        };
+        (0..LOST_CHANGES).for_each(change);
+        tokio::time::sleep(CONFIG_APPLY_TIME).await;
+        self.store.set_fault(StoreFault::Silent);
+        self.store.write_again(self.store.restore(&copy));
+        tokio::time::sleep(AWAY_TIME).await;
+        self.store.set_fault(StoreFault::None);
+        self.publish_config();
+        let published = Instant::now();
+        for number in 0..2 * LOST_CHANGES {
+            tokio::time::sleep(CHANGE_INTERVAL).await;
+            change(number);
+        }
+        let settled = RESTORE_EFFECT_TIME.saturating_sub(published.elapsed());
+        tokio::time::sleep(settled).await;
+        let key = format!("key-{}", self.version.get());
+        for (daemon, address) in self.caller_addresses().into_iter().enumerate() {
+            let caller = SoakCaller::new(daemon, address).await;
+            let outcome = self.call(&caller, CallKind::Status, &key).await;
+            if !matches!(outcome, CallOutcome::Response(StatusCode::OK, _)) {
+                violations.push(Violation::new(
+                    "a version takes effect after the store came back from a copy",
+                    format!("daemon {daemon}: {outcome:?}"),
+                ));
+            }
+        }
+    }
+
     /// Checks the invariants that must hold once no fault has been injected for `RECOVERY_TIME`:
     /// all calls are served, with the newest configuration; draining endpoints get no new runs; and
     /// no memory stays reserved.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -33,6 +33,14 @@
     ProxyMode::Blackhole,
 ];
 
+/// Number of times in a run at which the store comes back from a copy, and at which a daemon's open
+/// connections to the store fall silent.
+const RESTORE_COUNT: usize = 2;
+const SILENCE_COUNT: usize = 2;
+
+/// Lowest and highest age of a copy from which the store comes back, in milliseconds.
+const COPY_AGE_MS: (u64, u64) = (300, 4_000);
+
 /// Daemons that are cut off from all endpoints at once.
 #[derives::tag]
 pub enum CutScope {
@@ -83,6 +91,10 @@
     Store(StoreFault),
     /// The store compacts its history of changes.
     Compact,
+    /// The store comes back at the end from the copy of the begin, after it was away in this way.
+    Restore(StoreFault),
+    /// A daemon's open connections to the store fall silent for good.
+    Silence(usize),
     /// The network path from a daemon to the store is delayed or interrupted.
     StorePath(usize, ProxyMode),
     /// The network path to an endpoint is delayed or interrupted.
@@ -127,6 +139,7 @@
         .collect();
     times.extend(draw_limits(seed, size));
     times.extend(draw_cuts(seed, size));
+    times.extend(draw_restores(seed, size));
     times.sort_by_key(|time| time.from);
     times
 }
@@ -148,6 +161,31 @@
         .collect()
 }
 
+/// Draws returns of the store from copies, and silences of its connections, from numbers of their own.
+fn draw_restores(seed: u64, size: &SoakSize) -> Vec<FaultTime> {
+    let mut rng = SmallRng::seed_from_u64(seed.reverse_bits());
+    let mut times = Vec::new();
+    for _ in 0..RESTORE_COUNT {
+        let from = rng.random_range(0..FAULT_WINDOW_MS);
+        let ways = [StoreFault::None, StoreFault::Refusing, StoreFault::Silent];
+        let way = ways.choose(&mut rng).copied().unwrap_or(StoreFault::None);
+        times.push(FaultTime {
+            fault: SoakFault::Restore(way),
+            from,
+            until: from + rng.random_range(COPY_AGE_MS.0..COPY_AGE_MS.1),
+        });
+    }
+    for _ in 0..SILENCE_COUNT {
+        let from = rng.random_range(0..FAULT_WINDOW_MS);
+        times.push(FaultTime {
+            fault: SoakFault::Silence(rng.random_range(0..size.daemons)),
+            from,
+            until: from,
+        });
+    }
+    times
+}
+
 /// Draws cuts of daemons from all endpoints, from numbers of their own.
 fn draw_cuts(seed: u64, size: &SoakSize) -> Vec<FaultTime> {
     let mut rng = SmallRng::seed_from_u64(seed.swap_bytes());
