--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -15,7 +15,9 @@
 
 /// Messages of the log lines about a change of an instance's view or of a dependency. They have to
 /// match the messages that the instances log, word for word.
-const STATE_CHANGE_MESSAGES: [&str; 24] = [
+const STATE_CHANGE_MESSAGES: [&str; 31] = [
+    "answer of an earlier era not used",
+    "changes not forwarded",
     "configuration applied",
     "crash excused by a whole answer",
     "crash notice applied",
@@ -27,6 +29,7 @@
     "endpoint says that it leaves",
     "endpoint wants no requests for a time",
     "endpoints reached directly again",
+    "entries are of a copy",
     "limit learned from a member",
     "phase changed",
     "prompt part cleared",
@@ -39,7 +42,11 @@
     "steward lost",
     "store unavailable",
     "store available again",
-    "tunnel's host not told of a refusal",
+    "store came back from a copy",
+    "store left to the readers",
+    "store read",
+    "tunnel hosted",
+    "tunnel's host not told",
 ];
 
 /// A line of an instance's JSON log.
