Carry requests of any size through tunnels

Cause: what is written to a tunnel at once becomes one frame, and the codec refuses frames over 64 KiB. Change: a write takes at most one frame. Hosts of older builds read the same frames as before. Evidence: tunnel_carries_writes_of_any_size (300,000 bytes) did not end within 60 s before, since nothing arrives; it passes now.

--- a/crates/peer/src/tunnel_link.rs
+++ b/crates/peer/src/tunnel_link.rs
@@ -3,26 +3,53 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream::{SplitSink, SplitStream, unfold};
 use futures::{SinkExt, Stream, StreamExt};
 use policy::ids::EndpointId;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio_util::io::{CopyToBytes, SinkWriter, StreamReader};
 
 use crate::tunnel_message::{
-    HostReport, TunnelAnswer, TunnelCall, TunnelRefusal, TunnelRequest, broken_off, frame_codec,
+    HostReport, MAX_FRAME_BYTES, TunnelAnswer, TunnelCall, TunnelRefusal, TunnelRequest,
+    broken_off, frame_codec,
 };
 
 type TunnelFrames = Framed<TcpStream, LengthDelimitedCodec>;
 
 type TunnelReader = StreamReader<Pin<Box<dyn Stream<Item = io::Result<Bytes>>>>, Bytes>;
 
-type TunnelWriter = SinkWriter<CopyToBytes<SplitSink<TunnelFrames, Bytes>>>;
+type TunnelWriter = FrameWriter<SinkWriter<CopyToBytes<SplitSink<TunnelFrames, Bytes>>>>;
+
+/// Writes at most one frame at once.
+pub struct FrameWriter<W> {
+    inner: W,
+}
+
+impl<W: AsyncWrite + Unpin> AsyncWrite for FrameWriter<W> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let bytes = &bytes[..bytes.len().min(MAX_FRAME_BYTES)];
+        Pin::new(&mut self.inner).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
 
 /// A connection to an endpoint through another instance. Reading ends with an error unless the
 /// endpoint closed its connection in an orderly way.
@@ -55,7 +82,9 @@
     let reader: Pin<Box<dyn Stream<Item = io::Result<Bytes>>>> = Box::pin(content(frames));
     Ok(tokio::io::join(
         StreamReader::new(reader),
-        SinkWriter::new(CopyToBytes::new(sink)),
+        FrameWriter {
+            inner: SinkWriter::new(CopyToBytes::new(sink)),
+        },
     ))
 }
 
--- a/crates/peer/tests/tunnel_messages.rs
+++ b/crates/peer/tests/tunnel_messages.rs
@@ -9,14 +9,19 @@
 use futures::future::LocalBoxFuture;
 use futures::{FutureExt, SinkExt, StreamExt};
 use jackdawpoint_peer::{
-    HostReport, TunnelHandler, TunnelRefusal, TunnelTarget, report_to_host, serve_tunnels,
+    HostReport, TunnelGuard, TunnelHandler, TunnelRefusal, TunnelTarget, open_tunnel,
+    report_to_host, serve_tunnels,
 };
 use policy::ids::EndpointId;
 use serde::Deserialize;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+/// Size of a request that is larger than a frame, in bytes.
+const LARGE_REQUEST: usize = 300_000;
+
 /// A host that knows that the endpoint leaves.
 #[derive(Default)]
 struct LeavingHost {
@@ -132,3 +137,58 @@
     assert_eq!(request.endpoint, "a");
     assert!(request.retry_after.is_some_and(|time| time >= 2_000));
 }
+
+/// A host whose endpoint counts the bytes that reach it.
+struct CountingHost {
+    endpoint: SocketAddr,
+}
+
+impl TunnelHandler for CountingHost {
+    fn connect(
+        &self,
+        _endpoint: EndpointId,
+    ) -> LocalBoxFuture<'_, Result<TunnelTarget, TunnelRefusal>> {
+        async {
+            let stream = TcpStream::connect(self.endpoint).await;
+            Ok(TunnelTarget {
+                stream: stream.expect("the endpoint listens"),
+                guard: Box::new(NoGuard),
+            })
+        }
+        .boxed_local()
+    }
+
+    fn told(&self, _report: HostReport) {}
+}
+
+struct NoGuard;
+
+impl TunnelGuard for NoGuard {}
+
+/// A request with a long prompt is larger than the largest frame.
+#[tokio::test]
+async fn tunnel_carries_writes_of_any_size() {
+    let carried = async {
+        let (endpoint, endpoint_address) = listen().await;
+        let (listener, address) = listen().await;
+        let host = Rc::new(CountingHost {
+            endpoint: endpoint_address,
+        });
+        tokio::task::spawn_local(serve_tunnels(listener, host));
+        let limit = Duration::from_secs(2);
+        let tunnel = open_tunnel(address, &EndpointId::new("a"), limit).await;
+        let mut tunnel = tunnel.expect("the host opens the tunnel");
+        let (mut accepted, _) = endpoint.accept().await.expect("a connection");
+        let request: Vec<u8> = (0..=250).cycle().take(LARGE_REQUEST).collect();
+        let mut received = vec![0; LARGE_REQUEST];
+        let writing = async {
+            tunnel.write_all(&request).await?;
+            tunnel.flush().await
+        };
+        let (written, read) = futures::join!(writing, accepted.read_exact(&mut received));
+        written.expect("the tunnel takes the request");
+        read.expect("the endpoint reads the request");
+        assert!(received == request, "the bytes are the same");
+    };
+    LocalSet::new().run_until(carried).await;
+}
