--- a/crates/relay/src/endpoint_gate.rs
+++ b/crates/relay/src/endpoint_gate.rs
@@ -16,6 +16,8 @@
 pub enum GateRefusal {
     /// The endpoint leaves, or was removed recently.
     Departed,
+    /// The endpoint's entry may be older than its removal.
+    Doubted,
     /// The endpoint wants no requests from this instance for a time.
     Held,
 }
@@ -75,7 +77,11 @@
 
     /// Why nothing may be sent to the endpoint now; `None` if requests may go there.
     pub(crate) fn refusal(&self, endpoint: &EndpointId) -> Option<GateRefusal> {
-        if self.view.borrow().is_departed(endpoint) {
+        let view = self.view.borrow();
+        if view.is_doubted(endpoint) {
+            return Some(GateRefusal::Doubted);
+        }
+        if view.is_departed(endpoint) {
             return Some(GateRefusal::Departed);
         }
         self.backoffs.holds(endpoint).then_some(GateRefusal::Held)
--- a/crates/relay/src/endpoint_view.rs
+++ b/crates/relay/src/endpoint_view.rs
@@ -272,6 +272,17 @@
         is_leaving || self.departed.contains_key(endpoint)
     }
 
+    /// Whether an endpoint counts as leaving only because its entry may be older than what was known of
+    /// it.
+    #[must_use]
+    pub fn is_doubted(&self, endpoint: &EndpointId) -> bool {
+        let entry = self.endpoints.get(endpoint);
+        entry.is_some_and(|entry| {
+            let is_known = entry.says_leaving || entry.past().is_leaving;
+            entry.doubted_until.is_some() && !is_known
+        })
+    }
+
     /// Whether an endpoint was removed recently without having been seen leaving.
     #[must_use]
     pub fn is_lost(&self, endpoint: &EndpointId) -> bool {
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -144,7 +144,7 @@
             if let Some((closed, refusal)) = self.closed_engine(&grant) {
                 let outcome = match refusal {
                     GateRefusal::Departed => RunOutcome::NotConnected,
-                    GateRefusal::Held => RunOutcome::NoPath,
+                    GateRefusal::Held | GateRefusal::Doubted => RunOutcome::NoPath,
                 };
                 let report = RunReport::new(outcome);
                 guard.report(report.with_fault_at(Some(closed.address)));
--- a/crates/relay/src/tunnel_host.rs
+++ b/crates/relay/src/tunnel_host.rs
@@ -89,7 +89,8 @@
         let refusal = match self.core.gate().refusal(endpoint) {
             None => return Ok(()),
             Some(GateRefusal::Departed) => TunnelRefusal::EndpointLeaving,
-            Some(GateRefusal::Held) => TunnelRefusal::EndpointHeld,
+            // What is in doubt here may be known elsewhere.
+            Some(GateRefusal::Held | GateRefusal::Doubted) => TunnelRefusal::EndpointHeld,
         };
         spdlog::info!("tunnel refused", kv: {
             endpoint = endpoint.as_str(),
