Let a follower whose readers are turned away call the store at once while it is served

The store turned both readers of its failure domain away and served all others; these count as in touch. Change: the first own call comes after 300 to 600 ms; once the store has answered a follower whose readers decline, it calls again without a delay until a reader answers; only after its own calls have failed too are they 1 to 4 s apart, which keeps the calls of a store that is away for all (four in four seconds at the most, by the delays themselves). notice_times has this way with the others, and a test bounds it by the two seconds in which a change must take effect.

--- a/crates/policy/src/notice_times.rs
+++ b/crates/policy/src/notice_times.rs
@@ -36,6 +36,13 @@
     longest: 300,
 };
 
+/// Delay of a follower's first own call after its readers have begun to decline: the store may turn
+/// just the readers away.
+pub const FOLLOWER_DELAY: DelayRange = DelayRange {
+    shortest: 300,
+    longest: 600,
+};
+
 /// Time in which a calm store answers on a new connection, and a reader on an open one; with room for
 /// an instance that has used up its CPU quota.
 const ANSWER_TIME: Millis = 300;
@@ -95,6 +102,21 @@
         self.watch_wait
     }
 
+    /// The way on which a follower learns of a change while the store turns its readers away. They count
+    /// as in touch all the while, so that it has the time in which a change must take effect.
+    #[must_use]
+    pub fn readers_turned_away() -> NoticeWay {
+        NoticeWay::new(
+            "change, readers turned away",
+            &[
+                WATCH_PAUSE,
+                FOLLOWER_DELAY.longest,
+                READER_ROUND_PAUSE,
+                ANSWER_TIME,
+            ],
+        )
+    }
+
     /// Whether the longest way takes less than the stated time.
     #[must_use]
     pub fn keeps_bound(&self) -> bool {
--- a/crates/policy/tests/notice_times.rs
+++ b/crates/policy/tests/notice_times.rs
@@ -40,6 +40,15 @@
     }
 }
 
+/// Shortest time on the platform's pages in which a change must take effect, in milliseconds.
+const CHANGE_TIME: u64 = 2_000;
+
+#[test]
+fn follower_whose_readers_are_turned_away_learns_of_a_change_in_time() {
+    let way = NoticeTimes::readers_turned_away();
+    assert!(way.total() < CHANGE_TIME, "{:?}", way.steps);
+}
+
 #[test]
 fn watches_wait_longer_where_more_time_is_stated() {
     let wait = |bound| NoticeTimes::new(bound).watch_wait();
--- a/crates/relay/src/forwarded_store.rs
+++ b/crates/relay/src/forwarded_store.rs
@@ -25,7 +25,7 @@
 use crate::clock::BootClock;
 use crate::placement_router::PlacementRouter;
 use crate::store_era::{EraChange, StoreEra};
-use crate::store_outage::{StoreOutage, follower_delay, prober_delay};
+use crate::store_outage::{StoreOutage, first_follower_delay, later_follower_delay, prober_delay};
 
 /// Number of changes that a reader buffers for its followers.
 const MAX_BUFFERED_CHANGES: usize = 2_048;
@@ -278,12 +278,16 @@
     unavailable_readers: RefCell<Vec<(SocketAddr, Millis)>>,
     outage: Rc<StoreOutage>,
     era: Rc<StoreEra>,
-    /// Delays between a follower's own calls while its readers decline.
-    follower_delay: RefCell<RetryDelay>,
+    /// Delay until a follower's first own call while its readers decline.
+    first_delay: RefCell<RetryDelay>,
+    /// Delays between its own calls while these fail too.
+    later_delay: RefCell<RetryDelay>,
     /// Delays between a follower's own calls while no reader can be asked.
     lone_delay: RefCell<RetryDelay>,
     /// Until when a follower leaves the store to its readers.
     direct_after: Cell<Millis>,
+    /// Whether the store answers this follower while its readers decline.
+    is_served_alone: Cell<bool>,
 }
 
 /// Whether a follower has to watch the store itself.
@@ -319,9 +323,11 @@
             links: RefCell::default(),
             unavailable_readers: RefCell::new(Vec::new()),
             outage: Rc::default(),
-            follower_delay: RefCell::new(follower_delay()),
+            first_delay: RefCell::new(first_follower_delay()),
+            later_delay: RefCell::new(later_follower_delay()),
             lone_delay: RefCell::new(prober_delay()),
             direct_after: Cell::new(0),
+            is_served_alone: Cell::new(false),
         }
     }
 
@@ -380,17 +386,19 @@
             let can_be_told = match round {
                 ReaderRound::Changes(report) => {
                     self.end_waiting();
+                    self.is_served_alone.set(false);
                     return Ok(report);
                 }
                 ReaderRound::HistoryLost => {
                     self.end_waiting();
+                    self.is_served_alone.set(false);
                     return Err(KeyValueError::HistoryLost);
                 }
                 ReaderRound::Declined => true,
                 ReaderRound::Unavailable => false,
             };
-            if can_be_told && self.direct_after.get() == 0 {
-                self.postpone_direct(&self.follower_delay);
+            if can_be_told && self.direct_after.get() == 0 && !self.is_served_alone.get() {
+                self.postpone_direct(&self.first_delay);
             }
             if !can_be_told && self.direct_after.get() > self.clock.now() + PROBER_DELAY.longest {
                 // Drawn while readers could still tell this instance of the store's return.
@@ -402,16 +410,18 @@
             tokio::time::sleep(Duration::from_millis(READER_ROUND_PAUSE)).await;
         };
         let report = self.watch_direct(after, wait).await;
+        self.is_served_alone.set(report.is_ok());
         match &report {
             Ok(_) => self.end_waiting(),
-            Err(_) if can_be_told => self.postpone_direct(&self.follower_delay),
+            Err(_) if can_be_told => self.postpone_direct(&self.later_delay),
             Err(_) => self.postpone_direct(&self.lone_delay),
         }
         report
     }
 
     fn end_waiting(&self) {
-        self.follower_delay.borrow_mut().reset();
+        self.first_delay.borrow_mut().reset();
+        self.later_delay.borrow_mut().reset();
         self.lone_delay.borrow_mut().reset();
         self.direct_after.set(0);
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -56,5 +56,7 @@
 };
 pub use crate::server::{bind, serve_callers, serve_probes};
 pub use crate::store_era::{EraChange, StoreEra};
-pub use crate::store_outage::{StoreOutage, follower_delay, informed_delay, prober_delay};
+pub use crate::store_outage::{
+    StoreOutage, first_follower_delay, informed_delay, later_follower_delay, prober_delay,
+};
 pub use crate::tunnel_host::EndpointTunnelHost;
--- a/crates/relay/src/store_outage.rs
+++ b/crates/relay/src/store_outage.rs
@@ -5,7 +5,7 @@
 
 use policy::cast::{f64_to_u64, u64_to_f64};
 use policy::ids::Millis;
-use policy::notice_times::PROBER_DELAY;
+use policy::notice_times::{FOLLOWER_DELAY, PROBER_DELAY};
 use policy::retry_delay::{DelayRange, RetryDelay};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -103,10 +103,16 @@
     })
 }
 
-/// Delays of a follower whose readers decline, and tell it of the end of an outage: it tries the store
-/// itself only because the store may turn just the readers away.
+/// Delay until a follower's first own call while its readers decline.
 #[must_use]
-pub fn follower_delay() -> RetryDelay {
+pub fn first_follower_delay() -> RetryDelay {
+    RetryDelay::new(FOLLOWER_DELAY)
+}
+
+/// Delays of a follower whose readers decline, after its own calls have failed too: the readers tell it
+/// of the end of the outage.
+#[must_use]
+pub fn later_follower_delay() -> RetryDelay {
     RetryDelay::new(DelayRange {
         shortest: 1_000,
         longest: 4_000,
--- a/crates/relay/tests/forwarded_store.rs
+++ b/crates/relay/tests/forwarded_store.rs
@@ -561,3 +561,54 @@
         .await;
     assert!(took < Duration::from_millis(1_200), "{took:?}");
 }
+
+/// Longest time between two calls of the store by a follower while only its readers are turned away:
+/// a change must take effect within two seconds, and the pause between two watches is left.
+const LONGEST_BLIND_TIME: Duration = Duration::from_millis(1_500);
+
+#[tokio::test]
+async fn a_follower_whose_readers_are_turned_away_is_not_blind_for_long() {
+    let gaps = tokio::task::LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+            let listener = listener.expect("a free port");
+            let address = listener.local_addr().expect("bound");
+            serve_reader(listener, ScriptedStore::new(WatchScript::Away));
+            let members = ["a", "b", "c", "d", "e"].map(|name| (name, address));
+            let direct = ScriptedStore::new(WatchScript::NoChange);
+            let store = store_of(Rc::clone(&direct), "follower", &members, WIDE_LINK);
+            store
+                .watch("", StorePosition::START, 0)
+                .await
+                .expect("the store answers");
+            let following = async {
+                loop {
+                    let _ = store.watch("", at(FIRST_REVISION), 100).await;
+                    tokio::time::sleep(LOOP_PAUSE).await;
+                }
+            };
+            let watching = async {
+                let until = Instant::now() + Duration::from_secs(8);
+                let (mut calls, mut called_at) = (direct.calls.get(), Instant::now());
+                let mut gaps = Vec::new();
+                while Instant::now() < until {
+                    if direct.calls.get() != calls {
+                        gaps.push(called_at.elapsed());
+                        (calls, called_at) = (direct.calls.get(), Instant::now());
+                    }
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+                gaps
+            };
+            tokio::select! {
+                () = following => unreachable!("the loop does not end"),
+                gaps = watching => gaps,
+            }
+        })
+        .await;
+    let longest = gaps.iter().max();
+    assert!(
+        longest.is_some_and(|longest| *longest <= LONGEST_BLIND_TIME),
+        "{gaps:?}"
+    );
+}
