--- a/crates/relay/src/forwarded_store.rs
+++ b/crates/relay/src/forwarded_store.rs
@@ -261,8 +261,8 @@
     Declined,
     /// No connection was made within [`CONNECT_TIMEOUT`].
     Unreachable,
-    /// A connection was made, but the reader did not answer within [`READER_WAIT`] and the margin or closed the
-    /// connection.
+    /// A connection was made, but the reader did not answer within [`READER_WAIT`] and the margin, or
+    /// closed the connection.
     NoAnswer,
 }
 
