--- a/crates/policy/src/store_position.rs
+++ b/crates/policy/src/store_position.rs
@@ -8,7 +8,7 @@
 pub struct StorePosition {
     /// Era of the service; zero if it states none.
     pub era: u64,
-    /// Revision within the era; zero stands for the time before the first change.
+    /// Revision within the era; zero is before the first change.
     pub revision: u64,
 }
 
--- a/crates/relay/src/stream/event_stream.rs
+++ b/crates/relay/src/stream/event_stream.rs
@@ -17,7 +17,7 @@
     pub(super) events: VecDeque<Bytes>,
     pub(super) is_ended: bool,
     has_content: bool,
-    /// Whether the run goes on where an earlier one broke off, so that its first event is due.
+    /// Whether the run resumes an earlier one, so that it must have at least one event.
     is_resumed: bool,
     /// Why nothing more is read, once the events that arrived before have been taken.
     failed: Option<RetryReason>,
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -275,7 +275,7 @@
         let mut headers = answer.headers;
         strip_connection_headers(&mut headers);
         if status.is_success() && self.last_event.is_some() && !is_event_stream(&headers) {
-            // It does not go on where the stream broke off.
+            // An answer of another media type does not resume the stream.
             return Err(RunError::new(
                 RunOutcome::Broken,
                 RetryReason::FrameRejected,
