Soak: storms of configurations on the size of a deployment, judged by the platform's rules

Its configurations only added a key, what was in force was asked after the faults, and a lost connection was no violation.

Versions add and remove routes and keys, move and split a route, change a timeout, go back, and follow unreadable ones, in quick succession or far apart.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -7,7 +7,9 @@
 use ntex::http::{Method, StatusCode};
 use ntex::time::Seconds;
 use ntex::util::Bytes;
-use transport::{ExchangeLimits, HttpClient};
+use transport::{ExchangeError, ExchangeLimits, HttpClient};
+
+use crate::storm::StormOutcome;
 
 /// Time that callers give each call, which they send as its deadline.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(3);
@@ -195,3 +197,69 @@
         }
     }
 }
+
+/// A request of a storm.
+#[derives::value]
+pub struct StormRequest {
+    /// Request id.
+    pub id: String,
+    /// Name of the route, which is also its path.
+    pub route: String,
+    /// API key.
+    pub key: String,
+    /// Time that the caller gives the request.
+    pub deadline: Duration,
+}
+
+/// A caller of one daemon in a storm.
+pub struct StormCaller {
+    client: HttpClient,
+    address: SocketAddr,
+}
+
+impl StormCaller {
+    /// Creates a caller of the daemon at `address`.
+    pub async fn new(address: SocketAddr) -> Self {
+        let limits = ExchangeLimits {
+            connect: Duration::from_secs(1),
+            ..ExchangeLimits::default()
+        };
+        Self {
+            client: HttpClient::with_keep_alive(limits, IDLE_TIMEOUT).await,
+            address,
+        }
+    }
+
+    /// Sends a request. Returns its outcome and the time at which that was known.
+    pub async fn call(&self, request: &StormRequest) -> (StormOutcome, Instant) {
+        let patience = request.deadline + TIMEOUT_SLACK;
+        let exchange = tokio::time::timeout(patience, self.exchange(request, patience));
+        let outcome = exchange.await.unwrap_or(StormOutcome::Silent);
+        (outcome, Instant::now())
+    }
+
+    async fn exchange(&self, request: &StormRequest, patience: Duration) -> StormOutcome {
+        let url = format!("http://{}/{}/1", self.address, request.route);
+        let deadline = request.deadline.as_millis().to_string();
+        let head = self
+            .client
+            .request(Method::POST, &url)
+            .set_header("Host", crate::HOST)
+            .header("Request-Id", &request.id)
+            .header("Deadline-Ms", deadline)
+            .header("Authorization", format!("Token {}", request.key));
+        let body = Bytes::from_static(b"body");
+        let response = match self.client.send_within(head, body, patience).await {
+            Ok(response) => response,
+            Err(ExchangeError::NotSent) => return StormOutcome::NotSent,
+            Err(ExchangeError::Silent) => return StormOutcome::Silent,
+            Err(ExchangeError::Lost | ExchangeError::Unreadable) => return StormOutcome::Lost,
+        };
+        let status = response.status().as_u16();
+        match self.client.read_body(&response).await {
+            Ok(_) => StormOutcome::Answered(status),
+            Err(ExchangeError::Silent) => StormOutcome::Silent,
+            Err(_) => StormOutcome::Lost,
+        }
+    }
+}
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -96,6 +96,21 @@
         SocketAddr::new(self.host.into(), 8080)
     }
 
+    /// Sets a bound in the settings file. It takes effect at the next start.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read or written.
+    pub fn set_bound(&self, name: &str, value: u128) -> io::Result<()> {
+        let text = fs::read_to_string(&self.settings)?;
+        let mut settings: serde_json::Value = serde_json::from_str(&text)?;
+        settings["bounds"][name] = serde_json::json!(u64::try_from(value).unwrap_or(u64::MAX));
+        // A daemon may read the file at any moment.
+        let written = self.settings.with_extension("new");
+        fs::write(&written, settings.to_string())?;
+        fs::rename(written, &self.settings)
+    }
+
     /// Starts the daemon's process unless one is running.
     ///
     /// # Errors
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,9 +6,16 @@
 mod daemon;
 mod run;
 mod schedule;
+mod storm;
 
+pub use check::Violation;
 pub use run::{SoakReport, run_seed};
 pub use schedule::{CutScope, FaultTime, SoakFault, SoakSize, draw_schedule};
+pub use storm::{
+    DisruptionLog, DisruptionPlan, DisruptionScope, RequestHandling, SentVersion, StormCall,
+    StormContent, StormOutcome, StormRecord, StormReport, StormRoute, StormRun, StormSite,
+    run_storm, versions_in_force,
+};
 
 /// `Host` header that callers send.
 pub const HOST: &str = "kitchen.example";
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,7 +6,9 @@
 
 use anyhow::Context;
 use clap::{Args, Parser, Subcommand};
-use jackdawpoint_soak::{SoakReport, SoakSize, draw_schedule, run_seed};
+use jackdawpoint_soak::{
+    SoakReport, SoakSize, StormSite, Violation, draw_schedule, run_seed, run_storm,
+};
 
 const SECONDS_PER_MINUTE: u64 = 60;
 
@@ -34,6 +36,25 @@
         #[command(flatten)]
         size: SizeArgs,
     },
+    /// Sends configurations in quick succession to a deployment's number of daemons, beside faults
+    /// and planned work, for several seeds one after the other.
+    Storm {
+        /// Name of the deployment.
+        #[arg(long, default_value = "pappalieve-prod")]
+        site: String,
+        /// First seed to run; a third each has planned work only, drills, and other faults.
+        #[arg(long, default_value_t = 1)]
+        from: u64,
+        /// Number of seeds to run.
+        #[arg(long, default_value_t = 3)]
+        count: u64,
+        /// Program of the daemons, in place of the newest one.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// Program of an older daemon, which every second start of a daemon takes.
+        #[arg(long)]
+        old: Option<PathBuf>,
+    },
     /// Runs one seed and prints its fault schedule.
     Replay {
         /// Seed to run.
@@ -100,6 +121,20 @@
                 all_passed &= report.violations.is_empty();
             }
         }
+        SoakCommand::Storm {
+            site,
+            from,
+            count,
+            program,
+            old,
+        } => {
+            let site = find_site(&site)?;
+            let first = program.unwrap_or(newest);
+            let programs: Vec<PathBuf> = std::iter::once(first).chain(old).collect();
+            for seed in from..from + count {
+                all_passed &= storm_and_print(seed, &site, &programs).await?;
+            }
+        }
         SoakCommand::Replay { seed, size } => {
             let programs = size.programs(&newest);
             let size = SoakSize::from(&size);
@@ -124,9 +159,7 @@
     size: &SoakSize,
     programs: &[PathBuf],
 ) -> anyhow::Result<SoakReport> {
-    let name = format!("jackdawpoint-soak-{}-{seed}", std::process::id());
-    let folder = std::env::temp_dir().join(name);
-    std::fs::create_dir_all(&folder).context("cannot create the folder for the daemons' files")?;
+    let folder = create_folder("soak", seed)?;
     let report = run_seed(seed, size, programs, &folder).await?;
     println!(
         "seed {seed}: {} faults, {} calls, {} complete answers, {} violations",
@@ -135,16 +168,55 @@
         report.complete,
         report.violations.len()
     );
-    for violation in &report.violations {
+    print_violations(&report.violations, &folder)?;
+    Ok(report)
+}
+
+/// Runs a storm. Returns whether all rules were kept.
+async fn storm_and_print(
+    seed: u64,
+    site: &StormSite,
+    programs: &[PathBuf],
+) -> anyhow::Result<bool> {
+    let folder = create_folder("storm", seed)?;
+    let report = run_storm(seed, site, programs, &folder).await?;
+    println!(
+        "{} seed {seed}: {} versions, {} disruptions, {} calls, {} judged, {} violations",
+        site.name,
+        report.versions,
+        report.disruptions,
+        report.calls,
+        report.judged,
+        report.violations.len()
+    );
+    print_violations(&report.violations, &folder)?;
+    Ok(report.violations.is_empty())
+}
+
+fn find_site(name: &str) -> anyhow::Result<StormSite> {
+    let known = StormSite::ALL.map(|site| site.name);
+    StormSite::find(name)
+        .with_context(|| format!("site {name:?}: expected one of {}", known.join(", ")))
+}
+
+fn create_folder(kind: &str, seed: u64) -> anyhow::Result<PathBuf> {
+    let name = format!("jackdawpoint-{kind}-{}-{seed}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).context("cannot create the folder for the daemons' files")?;
+    Ok(folder)
+}
+
+/// Prints violations and where the logs are, or removes the logs if there are none.
+fn print_violations(violations: &[Violation], folder: &Path) -> anyhow::Result<()> {
+    for violation in violations {
         println!("  {}: {}", violation.invariant, violation.observed);
     }
-    if report.violations.is_empty() {
-        std::fs::remove_dir_all(&folder)
-            .context("cannot remove the folder with the daemons' files")?;
-    } else {
-        println!("  logs: {}", folder.display());
+    if violations.is_empty() {
+        return std::fs::remove_dir_all(folder)
+            .context("cannot remove the folder with the daemons' files");
     }
-    Ok(report)
+    println!("  logs: {}", folder.display());
+    Ok(())
 }
 
 /// Returns the path of the daemon's program, which is expected beside this one.
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -1,7 +1,8 @@
 //! Short soak on fixed seeds and on regression seeds.
 
-use std::path::PathBuf;
+mod daemon_program;
 
+use daemon_program::daemon_program;
 use jackdawpoint_soak::{SoakSize, draw_schedule, run_seed};
 
 const SEEDS: [u64; 2] = [1, 2];
@@ -17,15 +18,6 @@
     }
 }
 
-/// Returns the path of the daemon's program, which `cargo xtask test` builds before the tests.
-fn daemon_program() -> PathBuf {
-    let own = std::env::current_exe().expect("the path of the test program");
-    let folder = own.parent().and_then(std::path::Path::parent);
-    let program = folder.expect("the build folder").join("jackdawpoint-relay");
-    assert!(program.exists(), "build the daemon first: cargo xtask test");
-    program
-}
-
 #[ntex::test]
 async fn fixed_seeds_keep_all_invariants() {
     let regressions = REGRESSION_SEEDS.iter().map(|(seed, _)| *seed);
