Answer every request before a stopping instance ends, and take only those that can still end

Cause: the time for new requests was 2.8 s whatever the grace period, whatever was left was dropped with the process, and nothing asked how long a request may take. Ruled out: the platform's probes (the requests came on kept and new connections alike) and tunnels (a host that stops opens none).

While an instance stops it refuses at once what it expects to outlive that: durations of each route are estimated as in RFC 6298, its aim stands in for them before the first.

A stream that has begun still breaks off at the end without its end mark, so that its caller resumes.

--- a/crates/caller/src/refusal.rs
+++ b/crates/caller/src/refusal.rs
@@ -112,6 +112,7 @@
         | UnfinishedReason::EndpointLost
         | UnfinishedReason::CallerGone
         | UnfinishedReason::RetryBudget
-        | UnfinishedReason::Quarantined => StatusCode::BAD_GATEWAY,
+        | UnfinishedReason::Quarantined
+        | UnfinishedReason::InstanceStopped => StatusCode::BAD_GATEWAY,
     }
 }
--- a/crates/policy/src/catalog.rs
+++ b/crates/policy/src/catalog.rs
@@ -220,6 +220,12 @@
         self.services.get(service)
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &ServiceRoute> {
+        let hosts = self.routes.values();
+        hosts.flat_map(HashMap::values).map(Rc::as_ref)
+    }
+
     /// All configured services.
     pub fn services(&self) -> impl Iterator<Item = &ServiceProfile> {
         self.services.values()
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -133,11 +133,13 @@
     RetryBudget,
     /// The prompt was quarantined while it ran.
     Quarantined,
+    /// The instance stopped before the answer was whole.
+    InstanceStopped,
 }
 
 impl UnfinishedReason {
     /// Every reason, in the order of declaration.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::DeadlinePassed,
         Self::ConnectionLost,
         Self::EndpointLost,
@@ -146,6 +148,7 @@
         Self::CallerGone,
         Self::RetryBudget,
         Self::Quarantined,
+        Self::InstanceStopped,
     ];
 
     /// Stable machine-readable code, used in answers and metrics.
@@ -160,6 +163,7 @@
             Self::CallerGone => "caller_gone",
             Self::RetryBudget => "retry_budget_running",
             Self::Quarantined => "quarantined_running",
+            Self::InstanceStopped => "instance_stopped",
         }
     }
 }
--- a/crates/relay/src/core/mod.rs
+++ b/crates/relay/src/core/mod.rs
@@ -3,6 +3,7 @@
 
 mod crashes;
 mod endpoints;
+mod stopping;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -21,6 +22,8 @@
 use tokio::sync::Notify;
 
 pub(crate) use self::crashes::RunFailure;
+pub(crate) use self::stopping::NOT_READY_RETRY_AFTER;
+use self::stopping::StopState;
 use crate::clock::BootClock;
 use crate::connections::EndpointConnections;
 use crate::counters::RelayCounters;
@@ -50,7 +53,8 @@
     Starting,
     /// Requests are served.
     Serving,
-    /// Stop was requested: the readiness probe fails, and new requests are still served.
+    /// Stop was requested: the readiness probe fails, and new requests are served that can end before
+    /// the stop.
     Draining,
     /// New requests are refused; requests in flight run to their end.
     Closing,
@@ -93,6 +97,7 @@
     balancers: RefCell<HashMap<PoolId, CallBalancer>>,
     retries: RefCell<BudgetTable<PoolId>>,
     phase: Cell<RelayPhase>,
+    stop: StopState,
     /// Limits that endpoints have named in answers to this instance.
     heard_limits: RefCell<RateTable>,
     last_request_number: Cell<u64>,
@@ -112,6 +117,7 @@
             balancers: RefCell::new(HashMap::new()),
             retries: RefCell::new(BudgetTable::new(CALL_RETRY_LIMITS)),
             phase: Cell::new(RelayPhase::Starting),
+            stop: StopState::default(),
             heard_limits: RefCell::new(RateTable::new()),
             last_request_number: Cell::new(0),
             notices_added: Notify::new(),
@@ -197,6 +203,7 @@
                     .update(|dispatcher| dispatcher.set_pool(&service.service, engine));
             }
         }
+        self.retain_durations(&catalog);
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
         self.distribute_endpoints();
         if self.phase.get() == RelayPhase::Starting {
--- /dev/null
+++ b/crates/relay/src/core/stopping.rs
@@ -0,0 +1,90 @@
+//! An orderly stop: which requests are still admitted, and how those that are left end.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+
+use policy::catalog::ServiceCatalog;
+use policy::duration_estimate::DurationEstimate;
+use policy::ids::Millis;
+use policy::outcome::{RefusalReason, UnfinishedReason};
+use tokio::sync::Notify;
+
+use super::{RelayCore, RelayPhase};
+use crate::answer::RelayFailure;
+use crate::request::RelayRequest;
+
+/// Retry-after of a request that this instance does not take and others do, in milliseconds.
+pub(crate) const NOT_READY_RETRY_AFTER: Millis = 500;
+
+/// State of an orderly stop, and how long requests of each route take.
+#[derive(Debug, Default)]
+pub(super) struct StopState {
+    /// When the requests that are left are answered; `None` until a stop begins.
+    answers_at: Cell<Option<Millis>>,
+    is_over: Cell<bool>,
+    over: Notify,
+    /// Durations of served requests by the name of their route.
+    durations: RefCell<HashMap<String, DurationEstimate>>,
+}
+
+impl RelayCore {
+    /// Begins an orderly stop, in [`RelayPhase::Draining`]: `time_left` milliseconds later the
+    /// requests that are left will be answered.
+    pub fn begin_stop(&self, time_left: Millis) {
+        self.stop.answers_at.set(Some(self.now() + time_left));
+        self.enter(RelayPhase::Draining);
+    }
+
+    /// Ends all requests that are left: each is answered at once, and a stream that has begun breaks
+    /// off.
+    pub fn end_requests(&self) {
+        self.stop.is_over.set(true);
+        self.stop.over.notify_waiters();
+    }
+
+    /// Resolves when the requests that are left must end.
+    pub(crate) async fn requests_ended(&self) {
+        let over = self.stop.over.notified();
+        if !self.stop.is_over.get() {
+            over.await;
+        }
+    }
+
+    /// Whether a request on the route `name` that may last until `ends_at` is expected to end before
+    /// a stop cuts it off. A route without served requests is expected to take its `aim`.
+    pub(crate) fn can_finish(&self, name: &str, aim: Millis, ends_at: Millis) -> bool {
+        let Some(answers_at) = self.stop.answers_at.get() else {
+            return true;
+        };
+        let durations = self.stop.durations.borrow();
+        let expected = durations.get(name).map_or(aim, DurationEstimate::upper);
+        ends_at <= answers_at || self.now() + expected <= answers_at
+    }
+
+    /// Records how long a request was served.
+    pub(crate) fn record_duration(&self, request: &RelayRequest) {
+        let took = self.now().saturating_sub(request.arrived);
+        let name = &request.admitted.route.name;
+        let mut durations = self.stop.durations.borrow_mut();
+        match durations.get_mut(name) {
+            Some(known) => known.record(took),
+            None => {
+                durations.insert(name.clone(), DurationEstimate::new(took));
+            }
+        }
+    }
+
+    /// Forgets the routes that `catalog` does not have.
+    pub(super) fn retain_durations(&self, catalog: &ServiceCatalog) {
+        let mut durations = self.stop.durations.borrow_mut();
+        durations.retain(|name, _| catalog.routes().any(|route| route.name == *name));
+    }
+
+    /// How a request ends that a stop cuts off.
+    pub(crate) fn cut_off(&self, request: &RelayRequest) -> RelayFailure {
+        if request.trace.may_have_run.get() {
+            return RelayFailure::Unfinished(UnfinishedReason::InstanceStopped);
+        }
+        RelayFailure::not_run(RefusalReason::NotReady, NOT_READY_RETRY_AFTER)
+    }
+}
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -16,7 +16,7 @@
 use policy::outcome::{RefusalReason, UnfinishedReason};
 
 use crate::answer::{RelayFailure, begin_answer, strip_connection_headers};
-use crate::core::{RelayCore, RelayPhase};
+use crate::core::{NOT_READY_RETRY_AFTER, RelayCore, RelayPhase};
 use crate::plain_call::serve_call;
 use crate::request::{RelayRequest, RequestTrace};
 use crate::stream::{StreamHead, StreamSession, StreamStart, StreamStep};
@@ -25,9 +25,6 @@
 /// newer configuration: the request is then refused as not ready instead of being denied.
 const DENIAL_CONFIG_AGE: Millis = 2_500;
 
-/// Retry-after of a request that arrives before the configuration is known, in milliseconds.
-const NOT_READY_RETRY_AFTER: Millis = 500;
-
 /// Largest body accepted before the configuration is known, in bytes.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1_024 * 1_024;
 
@@ -129,6 +126,9 @@
         let service = route.target(self.draw()).ok_or_else(not_ready)?.clone();
         let timeout = head.time_left.unwrap_or(route.timeout);
         let ends_at = arrived + timeout.min(route.timeout);
+        if !self.can_finish(&route.name, route.aim, ends_at) {
+            return Err(not_ready());
+        }
         let path_and_query = request.uri().path_and_query();
         let path_and_query = path_and_query
             .map_or("/", |path_and_query| path_and_query.as_str())
@@ -172,10 +172,14 @@
             is_logged: Cell::new(false),
         };
         let served = match request.admitted.route.answer_kind {
-            AnswerKind::Whole => serve_call(self, &request).await.map(StreamStart::Answered),
+            AnswerKind::Whole => {
+                let serving = serve_call(self, &request);
+                let served = self.until_stopped(&request, serving).await;
+                served.map(StreamStart::Answered)
+            }
             AnswerKind::Events => {
                 let mut session = StreamSession::new(self, &request);
-                match session.start().await {
+                match self.until_stopped(&request, session.start()).await {
                     Ok(StreamStart::Begun(head)) => {
                         return stream_response(session, &head, trace, io);
                     }
@@ -186,6 +190,7 @@
         match served {
             Ok(StreamStart::Answered(answer)) => {
                 let status = answer.status.as_u16();
+                self.record_duration(&request);
                 self.counters().answered(
                     kind_label(&request),
                     status,
@@ -203,6 +208,19 @@
         }
     }
 
+    /// Waits for `serving`, but no longer than until the requests that are left end.
+    async fn until_stopped<T>(
+        &self,
+        request: &RelayRequest,
+        serving: impl Future<Output = Result<T, RelayFailure>>,
+    ) -> Result<T, RelayFailure> {
+        tokio::select! {
+            biased;
+            served = serving => served,
+            () = self.requests_ended() => Err(self.cut_off(request)),
+        }
+    }
+
     fn count_failure(&self, failure: &RelayFailure) {
         match failure {
             RelayFailure::Unfinished(reason) => self.counters().unfinished(*reason),
@@ -287,7 +305,8 @@
     let events = unfold(
         state,
         move |(mut session, trace, io, in_flight)| async move {
-            match session.next().await {
+            let step = next_step(&mut session, &trace.core).await;
+            match step {
                 StreamStep::Event(bytes) => {
                     record_first_event(&session);
                     Some((
@@ -298,6 +317,7 @@
                 StreamStep::Whole => {
                     let (core, request) = (session.core(), session.request());
                     let took = core.seconds_since(request);
+                    core.record_duration(request);
                     core.counters().answered(kind_label(request), status, took);
                     trace.log_outcome("streamed", status);
                     None
@@ -314,6 +334,15 @@
     begin_answer(head.status, &head.headers).streaming(Box::pin(events))
 }
 
+/// The next step of a stream, which breaks off when the instance stops.
+async fn next_step(session: &mut StreamSession, core: &RelayCore) -> StreamStep {
+    tokio::select! {
+        biased;
+        step = session.next() => step,
+        () = core.requests_ended() => StreamStep::Failed(UnfinishedReason::InstanceStopped),
+    }
+}
+
 /// Closes a caller's connection in the middle of an answer. Never returns.
 async fn abort_connection<T>(io: Option<IoRef>) -> T {
     if let Some(io) = io {
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -136,6 +136,7 @@
             ran = MayHaveRun::Yes;
             runs += 1;
         }
+        request.trace.may_have_run.set(ran == MayHaveRun::Yes);
         if !may_repeat(core, request, &error, runs, tries) {
             return final_answer(core, request, error, ran);
         }
@@ -276,6 +277,7 @@
     };
     let endpoints = &request.trace.endpoints;
     endpoints.borrow_mut().push(guard.target.endpoint.clone());
+    request.trace.may_have_run.set(true);
     let exchange = async {
         let answer = core.connections().send(call).await?;
         if answer.is_tunnelled {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -89,6 +89,8 @@
     pub helpers: Cell<usize>,
     /// Number of tunnels that it was sent through.
     pub tunnels: Cell<u32>,
+    /// Whether an endpoint may have run the request, or may be running it.
+    pub may_have_run: Cell<bool>,
     /// Number of retries.
     pub retries: Cell<u32>,
     /// Total time spent waiting for placements, in milliseconds.
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -304,6 +304,8 @@
         if may_have_run {
             self.runs += 1;
         }
+        let trace = &self.request.trace;
+        trace.may_have_run.set(self.runs > 0);
         let route = &self.request.admitted.route;
         let can_repeat =
             !may_have_run || (route.repeat == RepeatRule::Repeatable && self.runs < route.attempts);
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -72,6 +72,7 @@
             return Err(error);
         }
         guard.sent(&request, &grant.host.endpoint);
+        trace.may_have_run.set(true);
         // Memory that is reserved must not outlive a lost host for long.
         let first_check = match &reservation {
             Some(_) => RESERVED_HOST_CHECK,
