--- a/crates/policy/src/catalog.rs
+++ b/crates/policy/src/catalog.rs
@@ -37,16 +37,16 @@
 }
 
 /// A service that receives a share of a route's requests.
-#[derives::value]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RouteTarget {
     /// The service.
     pub service: PoolId,
-    /// Share of the requests, relative to the weights of the other targets.
-    pub weight: u32,
+    /// Share of the requests, relative to the weights of the other targets; at least 0.
+    pub weight: f64,
 }
 
 /// How requests to one host under one path prefix are served.
-#[derives::value]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ServiceRoute {
     /// Name of the route.
     pub name: String,
@@ -80,15 +80,15 @@
     /// result is `None` if no target has a weight.
     #[must_use]
     pub fn target(&self, draw: f64) -> Option<&PoolId> {
-        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
-        let mut remaining = draw * f64::from(total);
+        let total: f64 = self.targets.iter().map(|target| target.weight).sum();
+        let mut remaining = draw * total;
         for target in &self.targets {
-            remaining -= f64::from(target.weight);
+            remaining -= target.weight;
             if remaining < 0.0 {
                 return Some(&target.service);
             }
         }
-        let has_weight = |target: &&RouteTarget| target.weight > 0;
+        let has_weight = |target: &&RouteTarget| target.weight > 0.0;
         self.targets
             .iter()
             .rfind(has_weight)
@@ -137,7 +137,7 @@
 }
 
 /// The route of a request and the account of its caller.
-#[derives::value]
+#[derive(Debug, Clone, PartialEq)]
 pub struct AdmittedRoute {
     /// The route.
     pub route: Rc<ServiceRoute>,
--- a/crates/policy/tests/catalog.rs
+++ b/crates/policy/tests/catalog.rs
@@ -28,7 +28,7 @@
         access,
         targets: vec![RouteTarget {
             service: PoolId::new("service"),
-            weight: 1,
+            weight: 1.0,
         }],
     }
 }
@@ -150,36 +150,41 @@
 #[test]
 fn split_routes_follow_target_weights() {
     struct Case {
-        weights: [u32; 2],
+        weights: [f64; 2],
         draw: f64,
         expected: &'static str,
     }
     let cases = [
         Case {
-            weights: [90, 10],
+            weights: [90.0, 10.0],
             draw: 0.0,
             expected: "first",
         },
         Case {
-            weights: [90, 10],
+            weights: [90.0, 10.0],
             draw: 0.899,
             expected: "first",
         },
         Case {
-            weights: [90, 10],
+            weights: [90.0, 10.0],
             draw: 0.901,
             expected: "second",
         },
         Case {
-            weights: [0, 10],
+            weights: [0.0, 10.0],
             draw: 0.0,
             expected: "second",
         },
         Case {
-            weights: [10, 0],
+            weights: [10.0, 0.0],
             draw: 1.0,
             expected: "first",
         },
+        Case {
+            weights: [0.25, 0.75],
+            draw: 0.26,
+            expected: "second",
+        },
     ];
     for case in cases {
         let mut route = route("a.example", "/x/", RouteAccess::Open);
