--- a/crates/relay/src/core/stopping.rs
+++ b/crates/relay/src/core/stopping.rs
@@ -79,10 +79,12 @@
         let mut durations = self.stop.durations.borrow_mut();
         durations.retain(|name, _| catalog.routes().any(|route| route.name == *name));
     }
+}
 
-    /// How a request ends that a stop cuts off.
-    pub(crate) fn cut_off(&self, request: &RelayRequest) -> RelayFailure {
-        if request.trace.may_have_run.get() {
+impl RelayRequest {
+    /// How the request ends if a stop cuts it off.
+    pub(crate) fn cut_off(&self) -> RelayFailure {
+        if self.trace.may_have_run.get() {
             return RelayFailure::Unfinished(UnfinishedReason::InstanceStopped);
         }
         RelayFailure::not_run(RefusalReason::NotReady, NOT_READY_RETRY_AFTER)
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -217,7 +217,7 @@
         tokio::select! {
             biased;
             served = serving => served,
-            () = self.requests_ended() => Err(self.cut_off(request)),
+            () = self.requests_ended() => Err(request.cut_off()),
         }
     }
 
