--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -15,10 +15,11 @@
 
 /// Messages of the log lines about a change of an instance's view or of a dependency. They have to
 /// match the messages that the instances log, word for word.
-const STATE_CHANGE_MESSAGES: [&str; 31] = [
+const STATE_CHANGE_MESSAGES: [&str; 34] = [
     "answer of an earlier era not used",
     "changes not forwarded",
     "configuration applied",
+    "configuration read",
     "crash excused by a whole answer",
     "crash notice applied",
     "cut off from endpoints; sending through other instances",
@@ -31,6 +32,7 @@
     "endpoints reached directly again",
     "entries are of a copy",
     "limit learned from a member",
+    "origin of changes",
     "phase changed",
     "prompt part cleared",
     "prompt part quarantined",
@@ -42,6 +44,7 @@
     "steward lost",
     "store unavailable",
     "store available again",
+    "store call failed",
     "store came back from a copy",
     "store left to the readers",
     "store read",
--- a/crates/peer/src/change_link.rs
+++ b/crates/peer/src/change_link.rs
@@ -14,7 +14,7 @@
 
 use crate::message::list_length;
 use crate::port::PeerError;
-use crate::steward_link::open;
+use crate::steward_link::{message_fault, open};
 
 /// A change of one key of the platform's key-value store.
 #[derives::value]
@@ -114,7 +114,8 @@
         };
         match timeout(wait + Duration::from_millis(READER_MARGIN), exchange).await {
             Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(_)) | Err(_) => Err(PeerError::AnswerLost),
+            Ok(Err(error)) => Err(message_fault(&error)),
+            Err(_) => Err(PeerError::Silent),
         }
     }
 }
--- a/crates/peer/src/port.rs
+++ b/crates/peer/src/port.rs
@@ -15,8 +15,12 @@
 pub enum PeerError {
     /// No connection could be established; the message was not sent.
     Unreachable,
-    /// No answer arrived in time, or the connection broke; the message may have been processed.
+    /// The connection broke, or the answer cannot be read; the message may have been processed.
     AnswerLost,
+    /// No answer arrived in time; the message may have been processed.
+    Silent,
+    /// The instance answered that it does not accept the message.
+    Refused,
 }
 
 /// Future of the answer to a message.
--- a/crates/peer/src/steward_link.rs
+++ b/crates/peer/src/steward_link.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use capnp::Error;
+use capnp::{Error, ErrorKind};
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
 use futures::future::LocalBoxFuture;
@@ -53,11 +53,13 @@
     ) -> Result<Self, PeerError> {
         let (steward, task) = open(address, time_limit).await?;
         let joined = timeout(time_limit, join_session(&steward, instance, runs)).await;
-        let Ok(Ok(session)) = joined else {
-            task.abort();
-            return Err(PeerError::AnswerLost);
+        let fault = match joined {
+            Ok(Ok(session)) => return Ok(Self { session, task }),
+            Ok(Err(error)) => message_fault(&error),
+            Err(_) => PeerError::Silent,
         };
-        Ok(Self { session, task })
+        task.abort();
+        Err(fault)
     }
 
     /// Whether the connection is still open; a broken connection may be noticed late.
@@ -142,6 +144,14 @@
     PeerError::AnswerLost
 }
 
+/// Why a message has no answer: an instance that does not accept one answers with an error.
+pub(crate) fn message_fault(error: &Error) -> PeerError {
+    match error.kind {
+        ErrorKind::Failed => PeerError::Refused,
+        _ => PeerError::AnswerLost,
+    }
+}
+
 /// Connects to the instance at `address` within `time_limit`; aborting the task closes the
 /// connection.
 pub(crate) async fn open(
--- a/crates/relay/src/forwarded_store.rs
+++ b/crates/relay/src/forwarded_store.rs
@@ -251,6 +251,13 @@
     }
 }
 
+/// Where this instance has its changes from.
+#[derives::tag]
+enum ChangeOrigin {
+    Store,
+    Reader(SocketAddr),
+}
+
 /// Result of requesting changes from a reader.
 #[derive(Debug)]
 enum ReaderOutcome {
@@ -288,6 +295,8 @@
     direct_after: Cell<Millis>,
     /// Whether the store answers this follower while its readers decline.
     is_served_alone: Cell<bool>,
+    /// Origin of the last changes; `None` before the first.
+    origin: Cell<Option<ChangeOrigin>>,
 }
 
 /// Whether a follower has to watch the store itself.
@@ -328,6 +337,7 @@
             lone_delay: RefCell::new(prober_delay()),
             direct_after: Cell::new(0),
             is_served_alone: Cell::new(false),
+            origin: Cell::new(None),
         }
     }
 
@@ -351,9 +361,26 @@
     ) -> Result<WatchReport, KeyValueError> {
         let report = self.direct.watch("", after, wait).await;
         self.record_direct(after, &report);
+        if report.is_ok() {
+            self.record_origin(ChangeOrigin::Store, after);
+        }
         report
     }
 
+    /// Logs from where this instance has the changes after a position, unless the last ones came from
+    /// there too.
+    fn record_origin(&self, origin: ChangeOrigin, after: StorePosition) {
+        let former = self.origin.replace(Some(origin));
+        if former != Some(origin) {
+            spdlog::info!("origin of changes", kv: {
+                origin:? = origin,
+                former:? = former,
+                era = after.era,
+                revision = after.revision,
+            });
+        }
+    }
+
     /// Passes the answer to a call of the store, which asked for the changes after a position, on to
     /// the followers.
     fn record_direct(&self, after: StorePosition, report: &Result<WatchReport, KeyValueError>) {
@@ -451,7 +478,10 @@
             }
             let answer = self.request_changes(address, after).await;
             let retry_delay = match answer {
-                ReaderOutcome::Changes(report) => return ReaderRound::Changes(report),
+                ReaderOutcome::Changes(report) => {
+                    self.record_origin(ChangeOrigin::Reader(address), after);
+                    return ReaderRound::Changes(report);
+                }
                 ReaderOutcome::HistoryLost => return ReaderRound::HistoryLost,
                 ReaderOutcome::Declined => DECLINED_RETRY_DELAY,
                 ReaderOutcome::Unreachable | ReaderOutcome::NoAnswer => READER_RETRY_DELAY,
@@ -495,7 +525,11 @@
         {
             Ok(answer) => answer,
             Err(error) => {
-                spdlog::info!("reader lost", kv: { address: = address, fault:? = error });
+                spdlog::info!("reader lost", kv: {
+                    address: = address,
+                    fault:? = error,
+                    revision = after.revision,
+                });
                 return ReaderOutcome::NoAnswer;
             }
         };
