Read all entries when the changes since the last answer are too many for one answer

Cause: a watch whose answer was lost is repeated from the same position. Its answer holds every version of the configuration since then in full, so it grows with each version while the instance is behind. Once it is over what a call may take (8 MB, or a second for the body), every repetition fails, in all three parties alike: the reader, the followers that it declines, and the instance that watches for itself. They leave this state only when the store drops its history. Class: a retry that asks for more each time, with a fixed limit.

Change: a watch fails with BacklogTooLong when its answer has begun and cannot be read whole; the watcher then reads the entries, whose size depends on what the store holds and not on how long the instance was away. One time limit holds for head and body of a watch, which a silence between the two exceeded by a second. A follower whose own call is answered that way counts as served, as after a lost history, and is not sent back to readers that decline for up to 4 s. The new way stands in NoticeTimes.

Ruled out: a larger limit (the answer still grows, on memory of 160 MB); reading entries after every failure (86 instances would read half a megabyte each after one silent connection).

--- a/crates/entry/src/order_lease.rs
+++ b/crates/entry/src/order_lease.rs
@@ -89,6 +89,7 @@
                 KeyValueError::Unreachable
                 | KeyValueError::Refused
                 | KeyValueError::HistoryLost
+                | KeyValueError::BacklogTooLong
                 | KeyValueError::EarlierEra,
             ) => None,
             Err(KeyValueError::AnswerLost | KeyValueError::Unreadable) => {
--- a/crates/platform/src/key_value.rs
+++ b/crates/platform/src/key_value.rs
@@ -21,10 +21,21 @@
     Refused,
     /// The service does not keep the changes after the requested position, or is in another era.
     HistoryLost,
+    /// The changes after the requested position are more than one answer can hold, or arrive too
+    /// slowly. Repeating the call does not help, since they grow; the present values can be read.
+    BacklogTooLong,
     /// The answer is of an earlier era than is known already, and is not used.
     EarlierEra,
 }
 
+impl KeyValueError {
+    /// Whether the service answers: only changes are missing, and the present values can be read.
+    #[must_use]
+    pub fn lacks_changes_only(self) -> bool {
+        matches!(self, Self::HistoryLost | Self::BacklogTooLong)
+    }
+}
+
 /// A value with the revision of its last write.
 #[derives::value]
 pub struct StoredValue {
--- a/crates/policy/src/notice_times.rs
+++ b/crates/policy/src/notice_times.rs
@@ -11,8 +11,8 @@
 /// than a quarter of the two seconds within which a change must take effect.
 pub const WATCH_PAUSE: Millis = 450;
 
-/// Time added to the length of a watch before its answer counts as lost. A slow store answers in about
-/// 240 ms.
+/// Time added to the length of a watch, within which its whole answer must have arrived. A slow store
+/// answers in about 240 ms.
 pub const WATCH_MARGIN: Millis = 500;
 
 /// Time after which a read of entries whose answer has not begun counts as lost, connecting included.
@@ -141,6 +141,15 @@
                 ANSWER_TIME,
             ],
         );
+        let backlog_return = NoticeWay::new(
+            "return, more changes than one answer can hold",
+            &[
+                WATCH_MARGIN,
+                PROBER_DELAY.longest,
+                WATCH_MARGIN,
+                ANSWER_TIME,
+            ],
+        );
         vec![
             Self::direct_silence(self.watch_wait),
             NoticeWay::new(
@@ -159,6 +168,7 @@
             ),
             direct_return,
             follower_return,
+            backlog_return,
         ]
     }
 
--- a/crates/relay/src/forwarded_store.rs
+++ b/crates/relay/src/forwarded_store.rs
@@ -437,11 +437,17 @@
             tokio::time::sleep(Duration::from_millis(READER_ROUND_PAUSE)).await;
         };
         let report = self.watch_direct(after, wait).await;
-        self.is_served_alone.set(report.is_ok());
-        match &report {
-            Ok(_) => self.end_waiting(),
-            Err(_) if can_be_told => self.postpone_direct(&self.later_delay),
-            Err(_) => self.postpone_direct(&self.lone_delay),
+        let is_served = report
+            .as_ref()
+            .err()
+            .is_none_or(|error| error.lacks_changes_only());
+        self.is_served_alone.set(is_served);
+        if is_served {
+            self.end_waiting();
+        } else if can_be_told {
+            self.postpone_direct(&self.later_delay);
+        } else {
+            self.postpone_direct(&self.lone_delay);
         }
         report
     }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -176,8 +176,21 @@
     /// `Lost` if the connection fails or the body is too large, `Silent` if the body is not
     /// complete in time.
     pub async fn read_body(&self, response: &ClientResponse) -> Result<Bytes, ExchangeError> {
+        self.read_body_within(response, self.limits.head).await
+    }
+
+    /// Reads the complete body of an answer within `time_limit`.
+    ///
+    /// # Errors
+    ///
+    /// See [`read_body`](Self::read_body).
+    pub async fn read_body_within(
+        &self,
+        response: &ClientResponse,
+        time_limit: Duration,
+    ) -> Result<Bytes, ExchangeError> {
         let body = response.body().limit(self.limits.body_bytes);
-        match timeout(self.limits.head, body).await {
+        match timeout(time_limit, body).await {
             Ok(Ok(body)) => Ok(body),
             Ok(Err(_)) => Err(ExchangeError::Lost),
             Err(_) => Err(ExchangeError::Silent),
