Keep only the last change of each key for followers

What callers would see: a reader that is killed for its memory in a long series of large versions, and its followers without changes until it is back.

Cause: a reader keeps up to 2,048 changes, each with its value, though it only ever forwards the last one of a key. Class: a limit on a number of things whose size is not limited.

Change: a change replaces the earlier one of its key; what is forwarded stays the same. Ruled out: a limit in bytes (one that evicts the newest version sends all followers to the store).

--- a/crates/relay/src/forwarded_store.rs
+++ b/crates/relay/src/forwarded_store.rs
@@ -47,7 +47,8 @@
 
 /// The latest changes that a reader has seen.
 ///
-/// Invariant: contains all changes of one era with a revision above `start` and up to `current`.
+/// Invariant: contains the last change of each key, of one era, with a revision above `start` and up to
+/// `current`.
 #[derive(Debug, Default)]
 struct ChangeBuffer {
     era: u64,
@@ -84,6 +85,7 @@
             };
             self.changes.push_back(change);
         }
+        self.drop_superseded();
         while self.changes.len() > MAX_BUFFERED_CHANGES {
             if let Some(evicted) = self.changes.pop_front() {
                 self.start = self.start.max(evicted.revision);
@@ -92,6 +94,17 @@
         self.current = self.current.max(report.position.revision);
     }
 
+    /// Drops the changes that are followed by one of the same key, so that large values do not add up.
+    fn drop_superseded(&mut self) {
+        let mut keys = HashSet::new();
+        let changes = self.changes.iter().rev();
+        let mut is_last: VecDeque<bool> = changes
+            .map(|change| keys.insert(change.key.as_str()))
+            .collect();
+        self.changes
+            .retain(|_| is_last.pop_back().unwrap_or_default());
+    }
+
     fn position(&self) -> StorePosition {
         StorePosition {
             era: self.era,
@@ -109,13 +122,9 @@
     fn after(&self, after: u64) -> Vec<StoreChange> {
         let newer = self.changes.iter().rev();
         let newer = newer.take_while(|change| change.revision > after);
-        let mut seen = HashSet::new();
-        let mut latest: Vec<StoreChange> = newer
-            .filter(|change| seen.insert(change.key.as_str()))
-            .cloned()
-            .collect();
-        latest.reverse();
-        latest
+        let mut newer: Vec<StoreChange> = newer.cloned().collect();
+        newer.reverse();
+        newer
     }
 }
 
--- a/crates/relay/tests/forwarded_store.rs
+++ b/crates/relay/tests/forwarded_store.rs
@@ -270,6 +270,37 @@
     assert_eq!(revisions, [FIRST_REVISION + 2]);
 }
 
+/// Memory of the smallest instances on the platform, in kilobytes.
+const INSTANCE_MEMORY_KB: u64 = 160 * 1_024;
+
+/// Number of large values that together are larger than this memory.
+const MANY_VALUES: u64 = 700;
+
+/// Largest resident memory that this process has had, in kilobytes.
+fn peak_memory_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("the process runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let value = line.and_then(|line| line.split_whitespace().next());
+    value.and_then(|value| value.parse().ok()).expect("a size")
+}
+
+#[tokio::test(start_paused = true)]
+async fn large_values_of_one_key_do_not_add_up_in_a_readers_memory() {
+    let direct = ScriptedStore::new(WatchScript::LargeValue);
+    let store = store_of(direct, "reader", &[("reader", UNUSED_ADDRESS)], WIDE_LINK);
+    for revision in FIRST_REVISION..FIRST_REVISION + MANY_VALUES {
+        let after = if revision == FIRST_REVISION {
+            StorePosition::START
+        } else {
+            at(revision - 1)
+        };
+        let watched = store.watch("", after, 0).await;
+        watched.expect("the store answers");
+    }
+    let peak = peak_memory_kb();
+    assert!(peak < INSTANCE_MEMORY_KB, "{peak} kB");
+}
+
 /// With several readers that accept connections but never answer, a follower waits for only one of
 /// them.
 #[tokio::test]
