--- a/crates/policy/tests/notice_times.rs
+++ b/crates/policy/tests/notice_times.rs
@@ -1,7 +1,9 @@
 //! The waits in which an instance notices a silent store, or its return, add up to less than the time
 //! that the platform states.
 
-use jackdawpoint_policy::notice_times::NoticeTimes;
+use jackdawpoint_policy::notice_times::{
+    NoticeTimes, READER_ROUND_PAUSE, READER_WATCH_WAIT, WATCH_MARGIN, WATCH_PAUSE,
+};
 
 struct Case {
     /// Stated time, in milliseconds.
@@ -54,3 +56,39 @@
     let wait = |bound| NoticeTimes::new(bound).watch_wait();
     assert!(wait(3_000) < wait(4_000) && wait(4_000) < wait(5_000));
 }
+
+/// Time in which a calm store answers on a new connection, in milliseconds.
+const ANSWER_TIME: u64 = 300;
+
+/// A silence, and then a backlog that is not read whole within the margin of a watch: each is allowed for
+/// alone.
+#[test]
+fn silence_followed_by_a_backlog_is_over_within_the_stated_time() {
+    for bound in [3_000, 4_000] {
+        let watch_wait = NoticeTimes::new(bound).watch_wait();
+        // The first watch is lost, the second one takes its whole time, then all entries are read.
+        let direct = [
+            WATCH_PAUSE,
+            watch_wait,
+            WATCH_MARGIN,
+            WATCH_MARGIN,
+            ANSWER_TIME,
+        ];
+        // The follower is told of a lost history, and reads all entries too.
+        let by_a_reader = [
+            WATCH_PAUSE,
+            READER_WATCH_WAIT,
+            WATCH_MARGIN,
+            WATCH_MARGIN,
+            ANSWER_TIME,
+            READER_ROUND_PAUSE,
+            ANSWER_TIME,
+            ANSWER_TIME,
+        ];
+        let totals = [direct.iter().sum::<u64>(), by_a_reader.iter().sum()];
+        assert!(
+            totals.iter().all(|total| *total < bound),
+            "{totals:?} of {bound} ms"
+        );
+    }
+}
