Forward a change that is larger than a full budget from a full one

What callers would see: followers of a reader on a link of 20 Mbit/s that never get a version of more than 500 KB from it, nor anything after it, while the store turns them away.

Class: a retry that cannot succeed.

What is taken beyond a full budget is owed, and made up for before the budget fills again, so that the rate holds.

--- a/crates/policy/src/forwarding_budget.rs
+++ b/crates/policy/src/forwarding_budget.rs
@@ -20,6 +20,8 @@
     rate: u64,
     /// Bytes that were left at `updated_at`.
     available: u64,
+    /// Bytes that were forwarded beyond a full budget and are not yet made up for.
+    owed: u64,
     updated_at: Millis,
 }
 
@@ -31,19 +33,26 @@
         Self {
             rate,
             available: rate * BURST_MILLIS,
+            owed: 0,
             updated_at: now,
         }
     }
 
-    /// Takes `bytes` from the budget; `false` if fewer are available, and then nothing is taken.
+    /// Takes `bytes` from the budget; `false` if fewer are available, and then nothing is taken. More
+    /// than a full budget holds is taken from a full one, which then refills later.
     pub fn take(&mut self, bytes: usize, now: Millis) -> bool {
         let refill = self.rate * now.saturating_sub(self.updated_at);
-        self.available = (self.available + refill).min(self.rate * BURST_MILLIS);
+        let full = self.rate * BURST_MILLIS;
+        let made_up = refill.min(self.owed);
+        self.owed -= made_up;
+        self.available = (self.available + refill - made_up).min(full);
         self.updated_at = now;
-        let Some(remaining) = self.available.checked_sub(bytes as u64) else {
+        let bytes = bytes as u64;
+        if self.available < bytes.min(full) {
             return false;
-        };
-        self.available = remaining;
+        }
+        self.owed += bytes.saturating_sub(full);
+        self.available -= bytes.min(full);
         true
     }
 }
