--- a/crates/policy/src/notice_times.rs
+++ b/crates/policy/src/notice_times.rs
@@ -15,11 +15,15 @@
 /// answers in about 240 ms.
 pub const WATCH_MARGIN: Millis = 500;
 
+/// The same for a watch that is not to wait. Longer answers than fit into this time are replaced by a read
+/// of all entries.
+pub const IMMEDIATE_WATCH_MARGIN: Millis = 350;
+
 /// Time after which a read of entries whose answer has not begun counts as lost, connecting included.
 pub const READ_LIMIT: Millis = 1_000;
 
 /// Longest wait of a reader's own watch for a change.
-pub const READER_WATCH_WAIT: Millis = 700;
+pub const READER_WATCH_WAIT: Millis = 450;
 
 /// Longest wait of a reader for a change when a follower asks.
 pub const READER_WAIT: Millis = 800;
@@ -129,7 +133,13 @@
         let reader_silence = Self::direct_silence(READER_WATCH_WAIT).total();
         let direct_return = NoticeWay::new(
             "return, direct",
-            &[READ_LIMIT, PROBER_DELAY.longest, ANSWER_TIME, ANSWER_TIME],
+            &[
+                READ_LIMIT,
+                PROBER_DELAY.longest,
+                // The changes may be too many for one answer, so that all entries are read.
+                IMMEDIATE_WATCH_MARGIN,
+                ANSWER_TIME,
+            ],
         );
         let follower_return = NoticeWay::new(
             "return, by a reader",
@@ -141,20 +151,17 @@
                 ANSWER_TIME,
             ],
         );
-        let backlog_return = NoticeWay::new(
-            "return, more changes than one answer can hold",
-            &[
-                WATCH_MARGIN,
-                PROBER_DELAY.longest,
-                WATCH_MARGIN,
-                ANSWER_TIME,
-            ],
-        );
         vec![
             Self::direct_silence(self.watch_wait),
             NoticeWay::new(
                 "silence of the reader's connection",
-                &[reader_silence, READER_ROUND_PAUSE, ANSWER_TIME],
+                &[
+                    reader_silence,
+                    READER_ROUND_PAUSE,
+                    ANSWER_TIME,
+                    // The follower reads all entries.
+                    ANSWER_TIME,
+                ],
             ),
             NoticeWay::new(
                 "silence of the connection to the reader",
@@ -163,16 +170,17 @@
                     READER_WAIT,
                     READER_MARGIN,
                     ANSWER_TIME,
+                    WATCH_MARGIN,
                     ANSWER_TIME,
                 ],
             ),
             direct_return,
             follower_return,
-            backlog_return,
         ]
     }
 
-    /// The watch is lost, and repeated at once on a new connection; its history may be lost too.
+    /// The watch is lost, and repeated at once on a new connection; its history may be lost, or too long
+    /// for one answer.
     fn direct_silence(watch_wait: Millis) -> NoticeWay {
         NoticeWay::new(
             "silence, direct",
@@ -180,7 +188,7 @@
                 WATCH_PAUSE,
                 watch_wait,
                 WATCH_MARGIN,
-                ANSWER_TIME,
+                IMMEDIATE_WATCH_MARGIN,
                 ANSWER_TIME,
             ],
         )
