Let connections between instances and to endpoints fall silent in storms

Cause: a storm silenced open connections to the store only, all of them and once. A reader's followers, members of a steward, tunnels and connections to endpoints had never been silenced on real processes.

Change: a proxy stands before the peer port and the tunnel port of each instance and before each endpoint; the store shows the proxies' addresses. A silence hits the store, instances, endpoints or several of them, all open connections or a drawn share (0.3 to 0.9), once or two or three times in a row. It counts as a disruption of all instances at that moment. After half of the silences no other event begins until the fleet must be in touch again, so that versions are judged then; the others overlap with what follows. Storms with drills have silences too.

--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -9,6 +9,11 @@
 
 use adapter_standin::settings_json;
 
+/// Ports of a daemon, as its settings file states them.
+const CALLER_PORT: u16 = 8080;
+const PEER_PORT: u16 = 7340;
+const TUNNEL_PORT: u16 = 7341;
+
 static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
 
 /// Returns a loopback address that no other daemon of this or a concurrent soak uses.
@@ -93,7 +98,13 @@
     /// Returns the address that serves callers.
     #[must_use]
     pub fn callers(&self) -> SocketAddr {
-        SocketAddr::new(self.host.into(), 8080)
+        SocketAddr::new(self.host.into(), CALLER_PORT)
+    }
+
+    /// Returns the addresses that serve other instances: for sessions, and for tunnels.
+    #[must_use]
+    pub fn peers(&self) -> [SocketAddr; 2] {
+        [PEER_PORT, TUNNEL_PORT].map(|port| SocketAddr::new(self.host.into(), port))
     }
 
     /// Sets a bound in the settings file. It takes effect at the next start.
--- a/crates/soak/src/storm/disruption.rs
+++ b/crates/soak/src/storm/disruption.rs
@@ -10,6 +10,8 @@
     Daemon(usize),
     /// The store, and with it all instances.
     Store,
+    /// Open connections of the fleet, and with them all instances.
+    Connections,
 }
 
 /// Whether work on the fleet was planned.
@@ -44,7 +46,7 @@
     fn affects(&self, daemon: usize) -> bool {
         match self.scope {
             DisruptionScope::Daemon(index) => index == daemon,
-            DisruptionScope::Store => true,
+            DisruptionScope::Store | DisruptionScope::Connections => true,
         }
     }
 }
--- a/crates/soak/src/storm/faults.rs
+++ b/crates/soak/src/storm/faults.rs
@@ -10,6 +10,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::disruption::{DisruptionPlan, DisruptionScope};
+use super::paths::PathKind;
 use super::{POLL_INTERVAL, Storm, StormMood};
 use crate::daemon::DaemonSignal;
 
@@ -35,6 +36,28 @@
 /// Bound in the settings that changes before a reload.
 const CHANGED_BOUND: &str = "retry_slack";
 
+/// Paths whose open connections fall silent at once.
+const SILENCED_KINDS: [&[PathKind]; 5] = [
+    &[PathKind::Store],
+    &[PathKind::Peer],
+    &[PathKind::Endpoint],
+    &[PathKind::Peer, PathKind::Endpoint],
+    &[PathKind::Store, PathKind::Peer, PathKind::Endpoint],
+];
+
+/// How often all of these connections fall silent, and the share of them that does otherwise.
+const WHOLE_SILENCE_SHARE: f64 = 0.5;
+const SILENCE_SHARE: (f64, f64) = (0.3, 0.9);
+
+/// Most silences in a series, and the time between two of them in milliseconds.
+const MAX_SILENCES: usize = 3;
+const SILENCE_GAP_MS: (u64, u64) = (100, 2_500);
+
+/// How often no other event begins until the fleet must be in touch again after a silence, and the
+/// time beyond that.
+const LULL_SHARE: f64 = 0.5;
+const LULL_SLACK: Duration = Duration::from_secs(3);
+
 /// Something that happens to a fleet.
 #[derives::tag]
 enum StormEvent {
@@ -55,6 +78,7 @@
     fn events(self) -> &'static [StormEvent] {
         const ALL: [StormEvent; 11] = [
             StormEvent::Drill,
+            StormEvent::Silence,
             StormEvent::Restart,
             StormEvent::Reload,
             StormEvent::Release,
@@ -63,12 +87,11 @@
             StormEvent::StorePath,
             StormEvent::DomainCut,
             StormEvent::Store,
-            StormEvent::Silence,
             StormEvent::Compact,
         ];
         match self {
-            Self::Drills => &ALL[..5],
-            Self::Planned => &ALL[1..4],
+            Self::Drills => &ALL[..6],
+            Self::Planned => &ALL[2..5],
             Self::Faults => &ALL[1..],
         }
     }
@@ -88,6 +111,9 @@
             let own_random = SmallRng::seed_from_u64(random.random());
             let happens = async move { storm.happen(event, own_random).await };
             tasks.push(tokio::task::spawn_local(happens));
+            if event == StormEvent::Silence && random.random_bool(LULL_SHARE) {
+                tokio::time::sleep(self.site.stable_time + LULL_SLACK).await;
+            }
         }
         join_all(tasks).await;
     }
@@ -130,11 +156,9 @@
                     .await;
             }
             StormEvent::Silence => {
-                let silence = self.begin_store();
-                self.store_paths
-                    .iter()
-                    .for_each(adapter_standin::FaultProxy::silence_open);
-                self.disruptions.end(silence, Instant::now());
+                let kinds = SILENCED_KINDS.choose(&mut random);
+                let kinds = kinds.copied().unwrap_or_default();
+                self.silence(kinds, &mut random).await;
             }
             StormEvent::Compact => {
                 let gap = self.begin_store();
@@ -171,6 +195,30 @@
             .begin(DisruptionScope::Store, plan, Instant::now())
     }
 
+    /// Silences open connections of these `kinds` for good, once or in a series.
+    async fn silence(&self, kinds: &[PathKind], random: &mut SmallRng) {
+        for round in 0..random.random_range(1..=MAX_SILENCES) {
+            if round > 0 {
+                let gap = random.random_range(SILENCE_GAP_MS.0..SILENCE_GAP_MS.1);
+                tokio::time::sleep(Duration::from_millis(gap)).await;
+            }
+            let share = if random.random_bool(WHOLE_SILENCE_SHARE) {
+                1.0
+            } else {
+                random.random_range(SILENCE_SHARE.0..SILENCE_SHARE.1)
+            };
+            let silence = self.disruptions.begin(
+                DisruptionScope::Connections,
+                DisruptionPlan::Fault,
+                Instant::now(),
+            );
+            for kind in kinds {
+                self.paths.silence(*kind, share, random);
+            }
+            self.disruptions.end(silence, Instant::now());
+        }
+    }
+
     fn end(&self, daemon: usize, disruption: usize) {
         self.disruptions.end(disruption, Instant::now());
         self.is_struck.borrow_mut()[daemon] = false;
@@ -255,11 +303,11 @@
             .map(|daemon| self.begin(*daemon, DisruptionPlan::Fault));
         let begun: Vec<usize> = begun.collect();
         for daemon in group {
-            self.store_paths[*daemon].set_mode(mode);
+            self.paths.store(*daemon).set_mode(mode);
         }
         tokio::time::sleep(length).await;
         for (daemon, disruption) in group.iter().zip(begun) {
-            self.store_paths[*daemon].set_mode(ProxyMode::Pass);
+            self.paths.store(*daemon).set_mode(ProxyMode::Pass);
             self.end(*daemon, disruption);
         }
     }
--- a/crates/soak/src/storm/mod.rs
+++ b/crates/soak/src/storm/mod.rs
@@ -3,6 +3,7 @@
 
 mod disruption;
 mod faults;
+mod paths;
 mod rules;
 mod site;
 mod version;
@@ -14,13 +15,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use adapter_standin::{FaultProxy, ResponsePlan, StoreStandin, WorkerStandin};
+use adapter_standin::{ResponsePlan, StoreStandin, WorkerStandin};
 use futures::future::join_all;
 use rand::rngs::SmallRng;
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 
 pub use self::disruption::{DisruptionLog, DisruptionPlan, DisruptionScope};
+use self::paths::StormPaths;
 pub use self::rules::{StormCall, StormOutcome, StormRecord, StormRun};
 pub use self::site::StormSite;
 use self::version::{
@@ -118,7 +120,7 @@
     store: StoreStandin,
     daemons: RefCell<Vec<SoakDaemon>>,
     domains: Vec<usize>,
-    store_paths: Vec<FaultProxy>,
+    paths: StormPaths,
     /// Endpoints with their service and the time that they need for a request.
     endpoints: Vec<(WorkerStandin, &'static str, Duration)>,
     versions: RefCell<Vec<SentVersion>>,
@@ -209,16 +211,19 @@
                 (WorkerStandin::new(&name, any, plan), service, work_time)
             });
         let endpoints: Vec<_> = endpoints.collect();
-        let (mut daemons, mut store_paths) = (Vec::new(), Vec::new());
+        let mut paths = StormPaths::new(&store);
+        for (endpoint, _, _) in &endpoints {
+            paths.add_endpoint(endpoint.address()).await?;
+        }
+        let mut daemons = Vec::new();
         for (index, domain) in domains.iter().enumerate() {
-            let path = FaultProxy::new(Ipv4Addr::LOCALHOST, store.address()).await?;
             let name = format!("entry-{index}");
             let domain = format!("domain-{domain}");
-            let address = path.address();
+            let address = paths.add_store().await?;
             let daemon = SoakDaemon::new(programs, index, folder, &name, &domain, address)?;
             daemon.set_bound("notice_ms", site.stable_time.as_millis())?;
+            paths.add_peers(daemon.peers()).await?;
             daemons.push(daemon);
-            store_paths.push(path);
         }
         let new = Self {
             site: site.clone(),
@@ -227,7 +232,7 @@
             is_struck: RefCell::new(vec![false; daemons.len()]),
             daemons: RefCell::new(daemons),
             domains,
-            store_paths,
+            paths,
             endpoints,
             versions: RefCell::default(),
             disruptions: DisruptionLog::new(),
