Play bursts of large versions beside paused instances in storms

A burst publishes versions every 60 ms for 1 to 5 s while a group of instances is paused; it belongs to storms with drills and with other faults. Half of the bursts are followed by a lull, as silences are.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -42,7 +42,8 @@
         /// Name of the deployment.
         #[arg(long, default_value = "pappalieve-prod")]
         site: String,
-        /// First seed to run; a third each has planned work only, drills, and other faults.
+        /// First seed to run; a third each has planned work only, drills, and other faults. Odd
+        /// seeds have versions with 1,400 idle routes.
         #[arg(long, default_value_t = 1)]
         from: u64,
         /// Number of seeds to run.
--- a/crates/soak/src/storm/faults.rs
+++ b/crates/soak/src/storm/faults.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use adapter_standin::{ProxyMode, StoreFault};
-use futures::future::join_all;
+use futures::future::{join, join_all};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -53,8 +53,11 @@
 const MAX_SILENCES: usize = 3;
 const SILENCE_GAP_MS: (u64, u64) = (100, 2_500);
 
-/// How often no other event begins until the fleet must be in touch again after a silence, and the
-/// time beyond that.
+/// Time for which versions follow each other closely while instances are paused, in milliseconds.
+const BURST_MS: (u64, u64) = (1_000, 5_000);
+
+/// How often no other event begins until the fleet must be in touch again after a silence or a
+/// burst, and the time beyond that.
 const LULL_SHARE: f64 = 0.5;
 const LULL_SLACK: Duration = Duration::from_secs(3);
 
@@ -66,6 +69,7 @@
     Release,
     Kill,
     Pause,
+    Burst,
     StorePath,
     DomainCut,
     Store,
@@ -74,11 +78,19 @@
     Drill,
 }
 
+impl StormEvent {
+    /// Whether a lull may follow, in which versions are judged.
+    fn ends_in_lull(self) -> bool {
+        matches!(self, Self::Silence | Self::Burst)
+    }
+}
+
 impl StormMood {
     fn events(self) -> &'static [StormEvent] {
-        const ALL: [StormEvent; 11] = [
+        const ALL: [StormEvent; 12] = [
             StormEvent::Drill,
             StormEvent::Silence,
+            StormEvent::Burst,
             StormEvent::Restart,
             StormEvent::Reload,
             StormEvent::Release,
@@ -90,8 +102,8 @@
             StormEvent::Compact,
         ];
         match self {
-            Self::Drills => &ALL[..6],
-            Self::Planned => &ALL[2..5],
+            Self::Drills => &ALL[..7],
+            Self::Planned => &ALL[3..6],
             Self::Faults => &ALL[1..],
         }
     }
@@ -110,10 +122,18 @@
             let storm = Rc::clone(self);
             let own_random = SmallRng::seed_from_u64(random.random());
             let happens = async move { storm.happen(event, own_random).await };
-            tasks.push(tokio::task::spawn_local(happens));
-            if event == StormEvent::Silence && random.random_bool(LULL_SHARE) {
-                tokio::time::sleep(self.site.stable_time + LULL_SLACK).await;
+            let task = tokio::task::spawn_local(happens);
+            let is_followed = !event.ends_in_lull() || !random.random_bool(LULL_SHARE);
+            if is_followed {
+                tasks.push(task);
+                continue;
             }
+            if let Err(error) = task.await {
+                eprintln!("an event failed: {error}");
+            }
+            let left = self.ends_at.get().saturating_duration_since(Instant::now());
+            let lull = self.site.stable_time + LULL_SLACK;
+            tokio::time::sleep(lull.min(left)).await;
         }
         join_all(tasks).await;
     }
@@ -135,6 +155,13 @@
                 let group = self.draw_group(&mut random);
                 join_all(group.into_iter().map(|daemon| self.pause(daemon, length))).await;
             }
+            StormEvent::Burst => {
+                let length = random.random_range(BURST_MS.0..BURST_MS.1);
+                let length = Duration::from_millis(length);
+                let group = self.draw_group(&mut random);
+                let pauses = join_all(group.into_iter().map(|daemon| self.pause(daemon, length)));
+                join(pauses, self.publish_burst(length, &mut random)).await;
+            }
             StormEvent::StorePath => {
                 let group = self.draw_group(&mut random);
                 self.cut_store(&group, &mut random, length).await;
@@ -349,7 +376,7 @@
             self.disruptions.end(disruption, Instant::now());
             self.is_store_away.set(false);
         };
-        futures::future::join(group_restarts, comes_back).await;
+        join(group_restarts, comes_back).await;
     }
 
     /// Records that the store has acknowledged the newest version once more.
--- a/crates/soak/src/storm/mod.rs
+++ b/crates/soak/src/storm/mod.rs
@@ -63,6 +63,13 @@
 /// Times between two versions, in milliseconds: in quick succession, and far apart.
 const VERSION_GAPS_MS: [[u64; 4]; 2] = [[100, 300, 900, 2_500], [2_500, 4_500, 6_000, 8_000]];
 
+/// One of so many seeds has large versions, and the number of their routes that nobody calls.
+const LARGE_SEEDS: u64 = 2;
+const LARGE_IDLE_ROUTES: usize = 1_400;
+
+/// Time between two versions of a burst.
+const BURST_GAP: Duration = Duration::from_millis(60);
+
 /// Time for which an unreadable configuration lies in the store.
 const INVALID_TIME: Duration = Duration::from_millis(150);
 
@@ -244,7 +251,12 @@
         for index in 0..new.endpoints.len() {
             new.register(index, "ready");
         }
-        new.publish(StormContent::first(site.idle_routes));
+        let idle_routes = if seed % LARGE_SEEDS == 1 {
+            LARGE_IDLE_ROUTES
+        } else {
+            site.idle_routes
+        };
+        new.publish(StormContent::first(idle_routes));
         Ok(new)
     }
 
@@ -311,6 +323,18 @@
         }
     }
 
+    /// Publishes versions for `length`, as close as [`BURST_GAP`].
+    async fn publish_burst(&self, length: Duration, random: &mut SmallRng) {
+        let ends_at = Instant::now() + length;
+        while Instant::now() < ends_at {
+            let newest = self.versions.borrow().last().cloned();
+            if let Some(newest) = newest.filter(|_| !self.is_store_away.get()) {
+                self.publish(newest.content.changed(newest.version + 1, random));
+            }
+            tokio::time::sleep(BURST_GAP).await;
+        }
+    }
+
     /// Starts all daemons within [`START_SPREAD`], in any order.
     async fn start_daemons(&self, random: &mut SmallRng) -> anyhow::Result<()> {
         let mut order: Vec<usize> = (0..self.domains.len()).collect();
--- a/crates/soak/tests/short_storm.rs
+++ b/crates/soak/tests/short_storm.rs
@@ -4,8 +4,8 @@
 
 use jackdawpoint_soak::{StormSite, run_storm};
 
-/// Seeds with drills and with other faults.
-const SEEDS: [u64; 2] = [4, 5];
+/// Seeds with drills, with other faults beside large versions, and with other faults.
+const SEEDS: [u64; 3] = [4, 5, 8];
 
 /// Guards against versions that come late or are undone, and requests that are lost or denied, on
 /// the number of instances of a small deployment.
