Keep the pace of a burst when writing a version takes time

Cause: the pause between two versions of a burst came on top of the time in which the version is built.

Names the lull after an event as such.

--- a/crates/soak/src/storm/faults.rs
+++ b/crates/soak/src/storm/faults.rs
@@ -123,8 +123,8 @@
             let own_random = SmallRng::seed_from_u64(random.random());
             let happens = async move { storm.happen(event, own_random).await };
             let task = tokio::task::spawn_local(happens);
-            let is_followed = !event.ends_in_lull() || !random.random_bool(LULL_SHARE);
-            if is_followed {
+            let has_lull = event.ends_in_lull() && random.random_bool(LULL_SHARE);
+            if !has_lull {
                 tasks.push(task);
                 continue;
             }
--- a/crates/soak/src/storm/mod.rs
+++ b/crates/soak/src/storm/mod.rs
@@ -20,6 +20,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
+use tokio::time::MissedTickBehavior;
 
 pub use self::disruption::{DisruptionLog, DisruptionPlan, DisruptionScope};
 use self::paths::StormPaths;
@@ -326,12 +327,14 @@
     /// Publishes versions for `length`, as close as [`BURST_GAP`].
     async fn publish_burst(&self, length: Duration, random: &mut SmallRng) {
         let ends_at = Instant::now() + length;
+        let mut pace = tokio::time::interval(BURST_GAP);
+        pace.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while Instant::now() < ends_at {
+            pace.tick().await;
             let newest = self.versions.borrow().last().cloned();
             if let Some(newest) = newest.filter(|_| !self.is_store_away.get()) {
                 self.publish(newest.content.changed(newest.version + 1, random));
             }
-            tokio::time::sleep(BURST_GAP).await;
         }
     }
 
