Give the configurations of storms a service with engines

Cause: a steward refuses sessions while its configuration has no pool of engines. Silences between members and stewards hit nothing.

Change: each version has a service with engines that nobody calls.

--- a/crates/soak/src/storm/version.rs
+++ b/crates/soak/src/storm/version.rs
@@ -15,6 +15,13 @@
 /// Service whose endpoints take their time.
 pub const SLOW_SERVICE: &str = "slow";
 
+/// Service with engines that nobody calls: instances open sessions with stewards only if a version
+/// has such a service.
+const ENGINE_SERVICE: &str = "engines";
+
+/// Memory of each engine of that service, in tokens.
+const ENGINE_MEMORY: u64 = 100_000;
+
 /// The route that every version has and that moves between services.
 pub const MAIN_ROUTE: &str = "main";
 
@@ -169,9 +176,10 @@
         });
         let service = |name: &str| ServiceFixture {
             name: name.to_owned(),
-            engine_memory: None,
+            engine_memory: (name == ENGINE_SERVICE).then_some(ENGINE_MEMORY),
         };
-        let services = MAIN_SERVICES.iter().copied().chain([SLOW_SERVICE]);
+        let services = MAIN_SERVICES.iter().copied();
+        let services = services.chain([SLOW_SERVICE, ENGINE_SERVICE]);
         let fixture = ConfigFixture {
             version,
             routes: routes.collect(),
