--- a/crates/soak/tests/rules.rs
+++ b/crates/soak/tests/rules.rs
@@ -417,3 +417,38 @@
     ];
     cases.iter().for_each(RuleCase::check);
 }
+
+/// A request around a silence of open connections.
+struct TouchCase {
+    name: &'static str,
+    sent_ms: u64,
+    is_in_touch: bool,
+}
+
+#[test]
+fn silence_takes_all_instances_out_of_touch_for_the_stable_time() {
+    let case = |name, sent_ms, is_in_touch| TouchCase {
+        name,
+        sent_ms,
+        is_in_touch,
+    };
+    let cases = [
+        case("over before it", 9_500, true),
+        case("under way", 9_900, false),
+        case("within the stable time", 12_900, false),
+        case("after the stable time", 13_100, true),
+    ];
+    let now = Instant::now() + START;
+    let at = |ms| now + Duration::from_millis(ms);
+    let log = DisruptionLog::new();
+    let scope = DisruptionScope::Connections;
+    let silence = log.begin(scope, DisruptionPlan::Fault, at(10_000));
+    log.end(silence, at(10_000));
+    for case in cases {
+        let ended = at(case.sent_ms + 300);
+        for daemon in [0, 7] {
+            let is_in_touch = log.in_touch(daemon, at(case.sent_ms), ended, Duration::from_secs(3));
+            assert_eq!(is_in_touch, case.is_in_touch, "{}, {daemon}", case.name);
+        }
+    }
+}
