--- a/crates/soak/src/storm/mod.rs
+++ b/crates/soak/src/storm/mod.rs
@@ -3,6 +3,7 @@
 
 mod disruption;
 mod faults;
+mod paths;
 mod rules;
 mod site;
 mod version;
@@ -14,13 +15,15 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use adapter_standin::{FaultProxy, ResponsePlan, StoreStandin, WorkerStandin};
+use adapter_standin::{ResponsePlan, StoreStandin, WorkerStandin};
 use futures::future::join_all;
 use rand::rngs::SmallRng;
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
+use tokio::time::MissedTickBehavior;
 
 pub use self::disruption::{DisruptionLog, DisruptionPlan, DisruptionScope};
+use self::paths::StormPaths;
 pub use self::rules::{StormCall, StormOutcome, StormRecord, StormRun};
 pub use self::site::StormSite;
 use self::version::{
@@ -61,6 +64,13 @@
 /// Times between two versions, in milliseconds: in quick succession, and far apart.
 const VERSION_GAPS_MS: [[u64; 4]; 2] = [[100, 300, 900, 2_500], [2_500, 4_500, 6_000, 8_000]];
 
+/// One of so many seeds has large versions, and the number of their routes that nobody calls.
+const LARGE_SEEDS: u64 = 2;
+const LARGE_IDLE_ROUTES: usize = 1_400;
+
+/// Time between two versions of a burst.
+const BURST_GAP: Duration = Duration::from_millis(60);
+
 /// Time for which an unreadable configuration lies in the store.
 const INVALID_TIME: Duration = Duration::from_millis(150);
 
@@ -118,7 +128,7 @@
     store: StoreStandin,
     daemons: RefCell<Vec<SoakDaemon>>,
     domains: Vec<usize>,
-    store_paths: Vec<FaultProxy>,
+    paths: StormPaths,
     /// Endpoints with their service and the time that they need for a request.
     endpoints: Vec<(WorkerStandin, &'static str, Duration)>,
     versions: RefCell<Vec<SentVersion>>,
@@ -209,16 +219,19 @@
                 (WorkerStandin::new(&name, any, plan), service, work_time)
             });
         let endpoints: Vec<_> = endpoints.collect();
-        let (mut daemons, mut store_paths) = (Vec::new(), Vec::new());
+        let mut paths = StormPaths::new(&store);
+        for (endpoint, _, _) in &endpoints {
+            paths.add_endpoint(endpoint.address()).await?;
+        }
+        let mut daemons = Vec::new();
         for (index, domain) in domains.iter().enumerate() {
-            let path = FaultProxy::new(Ipv4Addr::LOCALHOST, store.address()).await?;
             let name = format!("entry-{index}");
             let domain = format!("domain-{domain}");
-            let address = path.address();
+            let address = paths.add_store().await?;
             let daemon = SoakDaemon::new(programs, index, folder, &name, &domain, address)?;
             daemon.set_bound("notice_ms", site.stable_time.as_millis())?;
+            paths.add_peers(daemon.peers()).await?;
             daemons.push(daemon);
-            store_paths.push(path);
         }
         let new = Self {
             site: site.clone(),
@@ -227,7 +240,7 @@
             is_struck: RefCell::new(vec![false; daemons.len()]),
             daemons: RefCell::new(daemons),
             domains,
-            store_paths,
+            paths,
             endpoints,
             versions: RefCell::default(),
             disruptions: DisruptionLog::new(),
@@ -239,7 +252,12 @@
         for index in 0..new.endpoints.len() {
             new.register(index, "ready");
         }
-        new.publish(StormContent::first(site.idle_routes));
+        let idle_routes = if seed % LARGE_SEEDS == 1 {
+            LARGE_IDLE_ROUTES
+        } else {
+            site.idle_routes
+        };
+        new.publish(StormContent::first(idle_routes));
         Ok(new)
     }
 
@@ -306,6 +324,20 @@
         }
     }
 
+    /// Publishes versions for `length`, as close as [`BURST_GAP`].
+    async fn publish_burst(&self, length: Duration, random: &mut SmallRng) {
+        let ends_at = Instant::now() + length;
+        let mut pace = tokio::time::interval(BURST_GAP);
+        pace.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        while Instant::now() < ends_at {
+            pace.tick().await;
+            let newest = self.versions.borrow().last().cloned();
+            if let Some(newest) = newest.filter(|_| !self.is_store_away.get()) {
+                self.publish(newest.content.changed(newest.version + 1, random));
+            }
+        }
+    }
+
     /// Starts all daemons within [`START_SPREAD`], in any order.
     async fn start_daemons(&self, random: &mut SmallRng) -> anyhow::Result<()> {
         let mut order: Vec<usize> = (0..self.domains.len()).collect();
