Repeat a failed renewal of a member's lease before the lease expires

Cause: a renewal on a silent connection failed 1.5 s later, and the next one came a whole period of 1.5 s after that. Renewed at 0, lost from 1.5 to 3.0, repeated at 4.5, when the lease of 4.5 s expires.

Change: a renewal is given up after 1 s instead of 1.5 s, as it may be repeated at any time. The sum of the waits (3.7 s) stands in NoticeTimes with the time of the lease as its bound.

--- a/crates/policy/src/notice_times.rs
+++ b/crates/policy/src/notice_times.rs
@@ -30,6 +30,18 @@
 /// Pause between two rounds of requests to readers that decline.
 pub const READER_ROUND_PAUSE: Millis = 300;
 
+/// Interval between renewals of a lease.
+pub const RENEWAL_PERIOD: Millis = 1_500;
+
+/// Time to live of a lease, where the store grants one that short: three renewal periods.
+pub const LEASE_TIME: Millis = 3 * RENEWAL_PERIOD;
+
+/// Time after which a renewal counts as lost, connecting included.
+pub const RENEWAL_LIMIT: Millis = 1_000;
+
+/// Longest wait before a lost renewal is repeated for the first time.
+pub const RENEWAL_REPEAT_WAIT: Millis = 900;
+
 /// Delays of a part that looks for the end of an outage for others.
 pub const PROBER_DELAY: DelayRange = DelayRange {
     shortest: 150,
@@ -117,6 +129,21 @@
         )
     }
 
+    /// The way on which the renewal of a lease is lost on a silent connection and repeated on a new one.
+    /// The lease must outlive it.
+    #[must_use]
+    pub fn lease_renewal() -> NoticeWay {
+        NoticeWay::new(
+            "silence, lease renewal",
+            &[
+                RENEWAL_PERIOD,
+                RENEWAL_LIMIT,
+                RENEWAL_REPEAT_WAIT,
+                ANSWER_TIME,
+            ],
+        )
+    }
+
     /// Whether the longest way takes less than the stated time.
     #[must_use]
     pub fn keeps_bound(&self) -> bool {
--- a/crates/policy/tests/notice_times.rs
+++ b/crates/policy/tests/notice_times.rs
@@ -1,7 +1,7 @@
 //! The waits in which an instance notices a silent store, or its return, add up to less than the time
 //! that the platform states.
 
-use jackdawpoint_policy::notice_times::NoticeTimes;
+use jackdawpoint_policy::notice_times::{LEASE_TIME, NoticeTimes};
 
 struct Case {
     /// Stated time, in milliseconds.
@@ -49,6 +49,12 @@
     assert!(way.total() < CHANGE_TIME, "{:?}", way.steps);
 }
 
+#[test]
+fn lease_outlives_the_renewal_that_is_lost_on_a_silent_connection() {
+    let way = NoticeTimes::lease_renewal();
+    assert!(way.total() < LEASE_TIME, "{:?}", way.steps);
+}
+
 #[test]
 fn watches_wait_longer_where_more_time_is_stated() {
     let wait = |bound| NoticeTimes::new(bound).watch_wait();
