Pause after a failure to accept a connection

An instance whose descriptors are used up (silent connections hold them) spends its whole core on accept and fills its log.

Cause: all listeners (callers, probes, instances, tunnels) repeat a failed accept at once. With a connection that waits and no descriptor, each attempt fails at once.

Change: one function accepts for all listeners, and pauses for 50 ms after a failure.

Ruled out: closing the listener while descriptors are exhausted (callers would be refused longer than needed).

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,5 +1,6 @@
 //! Messages between entry instances, over capnp-rpc.
 
+mod accept;
 mod change_link;
 mod dispatch_message;
 mod handler;
@@ -13,6 +14,7 @@
 mod tunnel_message;
 mod tunnel_server;
 
+pub use accept::accept;
 pub use change_link::{ChangeAnswer, ChangeBatch, ChangeHandler, ChangeLink, StoreChange};
 pub use dispatch_message::RunUpdate;
 pub use handler::{
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -13,6 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
+use crate::accept::accept;
 use crate::handler::{PeerHandler, ProbeMessage, RelayOutcome};
 use crate::message::{
     from_json, list_length, read_digest, read_grant_request, read_updates, to_json, write_decision,
@@ -25,9 +26,7 @@
     let server = Rc::new(PeerService { handler });
     let client: peer::Client = capnp_rpc::new_client_from_rc(server);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
+        let stream = accept(&listener).await;
         let client = client.clone();
         tokio::task::spawn_local(serve_stream(stream, client));
     }
--- a/crates/peer/src/steward_server.rs
+++ b/crates/peer/src/steward_server.rs
@@ -17,6 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
+use crate::accept::accept;
 use crate::change_link::{ChangeHandler, write_answer};
 use crate::dispatch_message::{
     RunUpdate, read_in_flight_run, read_placement_request, read_run_update,
@@ -66,13 +67,7 @@
     });
     let client: instance::Client = capnp_rpc::new_client_from_rc(server);
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                spdlog::warn!("accept failed", kv: { error: });
-                continue;
-            }
-        };
+        let stream = accept(&listener).await;
         tokio::task::spawn_local(serve_stream(stream, client.clone()));
     }
 }
--- a/crates/peer/src/tunnel_server.rs
+++ b/crates/peer/src/tunnel_server.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
+use crate::accept::accept;
 use crate::tunnel_message::{
     HostReport, TunnelAnswer, TunnelCall, TunnelRefusal, TunnelRequest, broken_off, frame_codec,
 };
@@ -50,13 +51,7 @@
 /// spawned on the thread's local task set.
 pub async fn serve_tunnels(listener: TcpListener, handler: Rc<dyn TunnelHandler>) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                spdlog::warn!("accept failed", kv: { error: });
-                continue;
-            }
-        };
+        let stream = accept(&listener).await;
         let handler = Rc::clone(&handler);
         tokio::task::spawn_local(async move {
             // Both ends notice themselves how a tunnel ended.
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -10,6 +10,7 @@
 use ntex::service::cfg::SharedCfg;
 use ntex::service::{Pipeline, ServiceFactory, fn_service};
 use ntex::time::Seconds;
+use peer::accept;
 use policy::ids::Millis;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -67,13 +68,7 @@
 {
     let service = RefCell::new(None);
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                spdlog::warn!("accept failed", kv: { error: });
-                continue;
-            }
-        };
+        let stream = accept(&listener).await;
         let times = ConnectionTimeouts::of(&core);
         let is_current = matches!(&*service.borrow(), Some((known, _)) if *known == times);
         if !is_current {
