Close connections of other instances that have fallen silent

Each silence leaves connections open for good at the instances that others ask (readers, stewards), each with what it still had to send.

Cause: the side that asks leaves a silent connection after its timeouts, but the side that is asked reads from it forever: nothing arrives, not even the close.

Evidence: connections_of_instances_that_fell_silent_are_closed failed before (one run): with seven daemons, eight silences and 8 s more, the open descriptors of the two that are asked had grown from 28 and 18 to 72 and 48. It passes now (one run; 6 more than before are allowed). 86 instances that lose all connections about 25 times would use up 4,100 descriptors by this rate for each instance (computed, not run).

Change: a connection on which no byte has arrived for 5 s is closed. Members ping and followers ask about once a second. A follower that comes back to a reader whose connection was closed meanwhile connects again, and does not take the reader for lost.

Ruled out (all pass with and without the change): version_takes_effect_in_time_after_connections_between_instances_fell_silent, in which the connections to readers, to stewards and to all fall silent, a version follows 0 to 1.6 s later, and lookups are made all the while through each daemon: no version was late and no lookup failed.

--- a/crates/peer/src/change_link.rs
+++ b/crates/peer/src/change_link.rs
@@ -93,6 +93,12 @@
         Ok(Self { client, task })
     }
 
+    /// Whether the connection is still open; a broken connection may be noticed late.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.task.is_finished()
+    }
+
     /// Waits up to `wait` for changes after a position.
     ///
     /// # Errors
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,6 +8,7 @@
 mod message;
 mod port;
 mod server;
+mod silence_timer;
 mod steward_link;
 mod steward_server;
 mod tunnel_link;
--- a/crates/peer/src/steward_server.rs
+++ b/crates/peer/src/steward_server.rs
@@ -23,6 +23,11 @@
     RunUpdate, read_in_flight_run, read_placement_request, read_run_update,
     write_placement_decision,
 };
+use crate::silence_timer::{HeardReader, SilenceTimer};
+
+/// Time without a byte from another instance after which its connection is closed. Members ping and
+/// followers ask about once a second; a session without a message ends sooner.
+const MAX_SILENCE: Duration = Duration::from_secs(5);
 
 /// Handles the sessions of other instances on a steward.
 pub trait StewardHandler {
@@ -77,12 +82,20 @@
         return;
     }
     let (reader, writer) = stream.compat().split();
+    let silence = Rc::new(SilenceTimer::new(MAX_SILENCE));
+    let reader = HeardReader::new(reader, Rc::clone(&silence));
     let reader = futures::io::BufReader::new(reader);
     let writer = futures::io::BufWriter::new(writer);
     let options = capnp::message::ReaderOptions::new();
     let network = twoparty::VatNetwork::new(reader, writer, Side::Server, options);
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
     // When the connection ends, its `SessionService` is dropped, which ends the session.
-    let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
+    tokio::select! {
+        // What has arrived is read before the silence is judged: this process may have been suspended.
+        biased;
+        _ = system => {}
+        () = silence.wait() => spdlog::info!("silent connection of an instance closed"),
+    }
 }
 
 struct InstanceService {
--- a/crates/relay/src/forwarded_store.rs
+++ b/crates/relay/src/forwarded_store.rs
@@ -509,7 +509,8 @@
 
     async fn request_changes(&self, address: SocketAddr, after: StorePosition) -> ReaderOutcome {
         let pooled = self.links.borrow_mut().remove(&address);
-        let link = match pooled {
+        // A reader closes connections on which it is asked for nothing.
+        let link = match pooled.filter(ChangeLink::is_open) {
             Some(link) => link,
             None => match ChangeLink::connect(address, CONNECT_TIMEOUT).await {
                 Ok(link) => {
