Count the runs of a member that joins again once

After connections fell silent, a steward counts the runs of members that have joined again twice, and places requests as if its engines were fuller.

Cause: the member reports its runs in a new session. The former one lasts for up to 3 s after its last message, as its connection is silent and never closes, and holds the same runs.

Evidence: runs_of_a_member_that_joins_again_are_counted_once failed before: 4 runs counted of 2 (one run). It passes now (one run), with the 12 others of its file.

Change: a run that a member reports when it joins is dropped from the member's former sessions, after the new one has it, so that no request is placed in between.

Ruled out: ending the former sessions. A member whose domain steward becomes the fleet's joins it again while the former session is in use: its queued requests would be refused, and a ping in flight would fail and make the steward ineligible.

Open: requests queued in a former session stay queued until it ends, and a former session counts in the share of limits.

--- a/crates/relay/src/placement_router/member_session.rs
+++ b/crates/relay/src/placement_router/member_session.rs
@@ -5,7 +5,7 @@
 use futures::future::LocalBoxFuture;
 use peer::{RunUpdate, StewardHandler};
 use policy::dispatch::placement::{
-    InFlightRun, PlacementDecision, PlacementRequest, PlacementScope, RunKey,
+    InFlightRun, PlacementDecision, PlacementRequest, PlacementScope, RunKey, RunOutcome, RunReport,
 };
 use policy::ids::{DomainId, EndpointId, InstanceId, Millis};
 use policy::rate_limit::{PermitDecision, RequestRate};
@@ -54,6 +54,26 @@
         }
     }
 
+    fn sessions_of(&self, instance: &InstanceId) -> Vec<u64> {
+        let member_sessions = self.member_sessions.borrow();
+        let known = member_sessions
+            .iter()
+            .filter(|(_, session)| session.instance == *instance);
+        known.map(|(number, _)| *number).collect()
+    }
+
+    /// Drops the runs that a member has reported in a new session from its former ones, which last for
+    /// a while after their connections have fallen silent.
+    fn release_moved_runs(&self, former: &[u64], in_flight: &[InFlightRun]) {
+        let report = RunReport::new(RunOutcome::CallerLeft);
+        for session in former {
+            for run in in_flight {
+                let key = RunKey::new(*session, run.number);
+                self.driver.finish(key, &report);
+            }
+        }
+    }
+
     pub(super) fn end_member_session(&self, number: u64, cause: &str) {
         let ended = self.member_sessions.borrow_mut().remove(&number);
         if let Some(session) = ended {
@@ -82,6 +102,7 @@
             number = number,
             held = in_flight.len(),
         });
+        let former = self.sessions_of(&instance);
         let session = MemberSession {
             instance,
             last_heard_at: self.clock.now(),
@@ -91,6 +112,7 @@
         for run in &in_flight {
             self.driver.adopt(number, run);
         }
+        self.release_moved_runs(&former, &in_flight);
         Some(number)
     }
 
--- a/crates/relay/tests/placement_router.rs
+++ b/crates/relay/tests/placement_router.rs
@@ -30,6 +30,10 @@
 /// Bytes per millisecond: 1,000 Mbit/s.
 const LINK_RATE: u64 = 125_000;
 
+/// Interval and number of checks within which a member has joined again after a silence.
+const REJOIN_CHECK_PERIOD: Duration = Duration::from_millis(20);
+const REJOIN_CHECKS: usize = 250;
+
 /// An instance and its listener.
 struct TestInstance {
     name: &'static str,
@@ -463,37 +467,65 @@
 /// A network path to an instance that can fall silent without closing its connections.
 struct SilentPath {
     address: SocketAddr,
+    /// Of open and new connections.
     is_silent: Rc<Cell<bool>>,
+    /// Connections with a smaller number are silent for good.
+    first_open: Rc<Cell<u64>>,
+    connections: Rc<Cell<u64>>,
 }
 
 impl SilentPath {
+    /// Silences all open connections; new ones work.
+    fn silence_open(&self) {
+        self.first_open.set(self.connections.get());
+    }
+
     async fn new(target: SocketAddr) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
             .await
             .expect("a free port");
         let address = listener.local_addr().expect("the listener is bound");
         let is_silent = Rc::new(Cell::new(false));
-        let silent = Rc::clone(&is_silent);
+        let first_open = Rc::new(Cell::new(0));
+        let connections = Rc::new(Cell::new(0));
+        let (silent, first, accepted) = (
+            Rc::clone(&is_silent),
+            Rc::clone(&first_open),
+            Rc::clone(&connections),
+        );
         tokio::task::spawn_local(async move {
             while let Ok((caller, _)) = listener.accept().await {
+                let number = accepted.replace(accepted.get() + 1);
+                let (silent, first) = (Rc::clone(&silent), Rc::clone(&first));
+                let is_silent: Rc<dyn Fn() -> bool> =
+                    Rc::new(move || silent.get() || number < first.get());
                 let Ok(instance) = TcpStream::connect(target).await else {
                     continue;
                 };
                 let (from_caller, to_caller) = caller.into_split();
                 let (from_instance, to_instance) = instance.into_split();
-                let forward = Self::copy(from_caller, to_instance, Rc::clone(&silent));
+                let forward = Self::copy(from_caller, to_instance, Rc::clone(&is_silent));
                 tokio::task::spawn_local(forward);
-                let back = Self::copy(from_instance, to_caller, Rc::clone(&silent));
+                let back = Self::copy(from_instance, to_caller, is_silent);
                 tokio::task::spawn_local(back);
             }
         });
-        Self { address, is_silent }
+        Self {
+            address,
+            is_silent,
+            first_open,
+            connections,
+        }
     }
 
-    async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, is_silent: Rc<Cell<bool>>) {
+    async fn copy(
+        mut from: OwnedReadHalf,
+        mut to: OwnedWriteHalf,
+        is_silent: Rc<dyn Fn() -> bool>,
+    ) {
         let mut buffer = [0; 4_096];
         while let Ok(length) = from.read(&mut buffer).await {
-            if is_silent.get() {
+            if is_silent() {
                 std::future::pending::<()>().await;
             }
             if length == 0 || to.write_all(&buffer[..length]).await.is_err() {
@@ -528,6 +560,35 @@
         .await;
 }
 
+#[tokio::test]
+async fn runs_of_a_member_that_joins_again_are_counted_once() {
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            let mut first = TestInstance::new("first", "x", 1.0).await;
+            let second = TestInstance::new("second", "x", 0.5).await;
+            let path = SilentPath::new(first.address).await;
+            first.address = path.address;
+            for instance in [&first, &second] {
+                instance.add_members(&[&first, &second]);
+            }
+            wait_for_sessions().await;
+            for number in 1..=2 {
+                let granted = second.request(number).await;
+                assert!(matches!(granted, PlacementDecision::Granted(_)));
+            }
+            assert_eq!(first.driver.counts(), (0, 2));
+            path.silence_open();
+            let mut most_counted = 0;
+            for _ in 0..REJOIN_CHECKS {
+                tokio::time::sleep(REJOIN_CHECK_PERIOD).await;
+                most_counted = most_counted.max(first.driver.counts().1);
+            }
+            assert_eq!(most_counted, 2, "runs counted at the steward");
+            assert_eq!(first.driver.counts(), (0, 2));
+        })
+        .await;
+}
+
 #[tokio::test]
 async fn limit_heard_by_a_member_holds_at_its_steward_and_at_the_successor() {
     tokio::task::LocalSet::new()
