--- a/crates/policy/tests/notice_times.rs
+++ b/crates/policy/tests/notice_times.rs
@@ -2,8 +2,8 @@
 //! that the platform states.
 
 use jackdawpoint_policy::notice_times::{
-    IMMEDIATE_WATCH_MARGIN, NoticeTimes, READER_ROUND_PAUSE, READER_WATCH_WAIT, WATCH_MARGIN,
-    WATCH_PAUSE,
+    IMMEDIATE_WATCH_MARGIN, LEASE_TIME, NoticeTimes, READER_ROUND_PAUSE, READER_WATCH_WAIT,
+    WATCH_MARGIN, WATCH_PAUSE,
 };
 
 struct Case {
@@ -52,6 +52,12 @@
     assert!(way.total() < CHANGE_TIME, "{:?}", way.steps);
 }
 
+#[test]
+fn lease_outlives_the_renewal_that_is_lost_on_a_silent_connection() {
+    let way = NoticeTimes::lease_renewal();
+    assert!(way.total() < LEASE_TIME, "{:?}", way.steps);
+}
+
 #[test]
 fn watches_wait_longer_where_more_time_is_stated() {
     let wait = |bound| NoticeTimes::new(bound).watch_wait();
