Write answers to slow callers until the end of the grace period

What callers saw: a large answer that a caller reads slowly was cut at a planned stop, though grace was left.

Cause: the process waited for requests in hand, and then only 150 ms (FLUSH_TIME). A request counts as ended when its answer is handed to the connection; bytes that the operating system has not taken by then were lost with the process.

Ruled out: the time limit for closing a connection (CLOSE_TIMEOUT); the case without a stop reads whole.

--- a/crates/relay/src/core/mod.rs
+++ b/crates/relay/src/core/mod.rs
@@ -24,6 +24,7 @@
 pub(crate) use self::crashes::RunFailure;
 pub(crate) use self::stopping::NOT_READY_RETRY_AFTER;
 use self::stopping::StopState;
+use crate::caller_connections::CallerConnections;
 use crate::clock::BootClock;
 use crate::connections::EndpointConnections;
 use crate::counters::RelayCounters;
@@ -98,6 +99,7 @@
     retries: RefCell<BudgetTable<PoolId>>,
     phase: Cell<RelayPhase>,
     stop: StopState,
+    caller_connections: Rc<CallerConnections>,
     /// Limits that endpoints have named in answers to this instance.
     heard_limits: RefCell<RateTable>,
     last_request_number: Cell<u64>,
@@ -118,6 +120,7 @@
             retries: RefCell::new(BudgetTable::new(CALL_RETRY_LIMITS)),
             phase: Cell::new(RelayPhase::Starting),
             stop: StopState::default(),
+            caller_connections: Rc::default(),
             heard_limits: RefCell::new(RateTable::new()),
             last_request_number: Cell::new(0),
             notices_added: Notify::new(),
@@ -168,6 +171,16 @@
         self.counters.in_flight.get()
     }
 
+    /// Whether answers are still being written to callers.
+    #[must_use]
+    pub fn has_unwritten_answers(&self) -> bool {
+        self.caller_connections.has_unwritten()
+    }
+
+    pub(crate) fn caller_connections(&self) -> &Rc<CallerConnections> {
+        &self.caller_connections
+    }
+
     /// Enters another lifecycle phase.
     pub fn enter(&self, phase: RelayPhase) {
         self.phase.set(phase);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 //! and the way it publishes configuration and endpoints.
 
 mod answer;
+mod caller_connections;
 pub mod clock;
 mod connections;
 mod core;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -92,8 +92,10 @@
         };
         match open(stream, times) {
             Ok(io) => {
+                let entry = core.caller_connections().add(io.get_ref());
                 let call = pipeline.call_static(io);
                 ntex::rt::spawn(async move {
+                    let _entry = entry;
                     // The requests on the connection handle its end.
                     let _ = call.await;
                 });
