Try an unserved route at an instance that stops, one request at a time

Cause: a route without served requests was expected to take its aim, the time within which an answer is wanted. Where the aim is longer than the time left, all its requests were refused, and nothing could show that they are short.

Ruled out: expecting less than the aim, which no figure supports, and would cut all requests of a slow service.

Change: one such request is admitted at a time. Its duration, once it is served, decides on those after it.

--- a/crates/relay/src/core/mod.rs
+++ b/crates/relay/src/core/mod.rs
@@ -22,8 +22,8 @@
 use tokio::sync::Notify;
 
 pub(crate) use self::crashes::RunFailure;
-pub(crate) use self::stopping::NOT_READY_RETRY_AFTER;
 use self::stopping::StopState;
+pub(crate) use self::stopping::{NOT_READY_RETRY_AFTER, RouteTrial, StopAdmission};
 use crate::caller_connections::CallerConnections;
 use crate::clock::BootClock;
 use crate::connections::EndpointConnections;
--- a/crates/relay/src/core/stopping.rs
+++ b/crates/relay/src/core/stopping.rs
@@ -1,7 +1,8 @@
 //! An orderly stop: which requests are still admitted, and how those that are left end.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
 
 use policy::catalog::ServiceCatalog;
 use policy::duration_estimate::DurationEstimate;
@@ -25,6 +26,33 @@
     over: Notify,
     /// Durations of served requests by the name of their route.
     durations: RefCell<HashMap<String, DurationEstimate>>,
+    /// Names of the routes on which a trial is in hand.
+    trials: Rc<RefCell<HashSet<String>>>,
+}
+
+/// Whether a request is admitted while its instance stops.
+#[derive(Debug)]
+pub(crate) enum StopAdmission {
+    /// It is expected to end in time.
+    Expected,
+    /// Nothing is known of its route. It is the only such request in hand, and shows how long the others
+    /// would take.
+    Trial(RouteTrial),
+    /// It is expected to be cut off, or a trial of its route is in hand.
+    Refused,
+}
+
+/// A trial of a route, over when it is dropped.
+#[derive(Debug)]
+pub struct RouteTrial {
+    trials: Rc<RefCell<HashSet<String>>>,
+    name: String,
+}
+
+impl Drop for RouteTrial {
+    fn drop(&mut self) {
+        self.trials.borrow_mut().remove(&self.name);
+    }
 }
 
 impl RelayCore {
@@ -50,15 +78,28 @@
         }
     }
 
-    /// Whether a request on the route `name` that may last until `ends_at` is expected to end before
-    /// a stop cuts it off. A route without served requests is expected to take its `aim`.
-    pub(crate) fn can_finish(&self, name: &str, aim: Millis, ends_at: Millis) -> bool {
+    /// Whether a request on the route `name` that may last until `ends_at` is admitted: it is if it is
+    /// expected to end before a stop cuts it off. A route without served requests is expected to take
+    /// its `aim`, which most requests take much less than: one that does not fit is tried, one
+    /// request at a time.
+    pub(crate) fn stop_admission(&self, name: &str, aim: Millis, ends_at: Millis) -> StopAdmission {
         let Some(answers_at) = self.stop.answers_at.get() else {
-            return true;
+            return StopAdmission::Expected;
         };
         let durations = self.stop.durations.borrow();
-        let expected = durations.get(name).map_or(aim, DurationEstimate::upper);
-        ends_at <= answers_at || self.now() + expected <= answers_at
+        let known = durations.get(name).map(DurationEstimate::upper);
+        let expected = known.unwrap_or(aim);
+        if ends_at <= answers_at || self.now() + expected <= answers_at {
+            return StopAdmission::Expected;
+        }
+        let trials = &self.stop.trials;
+        if known.is_some() || !trials.borrow_mut().insert(name.to_owned()) {
+            return StopAdmission::Refused;
+        }
+        StopAdmission::Trial(RouteTrial {
+            trials: Rc::clone(trials),
+            name: name.to_owned(),
+        })
     }
 
     /// Records how long a request was served.
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -16,7 +16,7 @@
 use policy::outcome::{RefusalReason, UnfinishedReason};
 
 use crate::answer::{RelayFailure, begin_answer, strip_connection_headers};
-use crate::core::{NOT_READY_RETRY_AFTER, RelayCore, RelayPhase};
+use crate::core::{NOT_READY_RETRY_AFTER, RelayCore, RelayPhase, StopAdmission};
 use crate::plain_call::serve_call;
 use crate::request::{RelayRequest, RequestTrace};
 use crate::stream::{StreamHead, StreamSession, StreamStart, StreamStep};
@@ -126,9 +126,11 @@
         let service = route.target(self.draw()).ok_or_else(not_ready)?.clone();
         let timeout = head.time_left.unwrap_or(route.timeout);
         let ends_at = arrived + timeout.min(route.timeout);
-        if !self.can_finish(&route.name, route.aim, ends_at) {
-            return Err(not_ready());
-        }
+        let trial = match self.stop_admission(&route.name, route.aim, ends_at) {
+            StopAdmission::Expected => None,
+            StopAdmission::Trial(trial) => Some(trial),
+            StopAdmission::Refused => return Err(not_ready()),
+        };
         let path_and_query = request.uri().path_and_query();
         let path_and_query = path_and_query
             .map_or("/", |path_and_query| path_and_query.as_str())
@@ -148,6 +150,7 @@
             ends_at,
             trace: RequestTrace::default(),
             fingerprints: OnceCell::new(),
+            _trial: trial,
         })
     }
 
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -10,6 +10,7 @@
 use policy::poison::{Fingerprint, RequestFingerprints};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::core::RouteTrial;
 use crate::dialect::{CallerHead, ForwardHead, WireDialect};
 
 /// An admitted request.
@@ -39,6 +40,8 @@
     pub trace: RequestTrace,
     /// Result of [`Self::fingerprints`], once computed.
     pub(crate) fingerprints: OnceCell<RequestFingerprints>,
+    /// Set if the request is a trial of its route at an instance that stops.
+    pub(crate) _trial: Option<RouteTrial>,
 }
 
 impl RelayRequest {
