Bound the times of the entry's settings

A time of any length was taken, though times are added to clocks.

Evidence: seven cases of crates/settings/tests/settings.rs. Before, the first of them, body_ms of 2^64 - 1, was taken as valid; the test ends there, so the others were not seen to fail one by one. After, all seven are refused with the member, the value and what is allowed. That such a time ends the daemon was not tried.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -86,17 +86,20 @@
 fn check_limits(limits: &LimitSettings) -> Result<(), SettingsError> {
     check_positive("limits.body_bytes", limits.body_bytes as u64)?;
     check_header_bytes(limits.header_bytes)?;
-    check_positive("limits.body_ms", limits.body_ms)?;
-    check_positive("limits.default_timeout_ms", limits.default_timeout_ms)?;
-    check_positive("limits.connect_ms", limits.connect_ms)?;
-    check_positive("limits.silence_ms", limits.silence_ms)?;
-    check_positive("limits.claim_window_ms", limits.claim_window_ms)?;
+    check_time("limits.body_ms", limits.body_ms, 1)?;
+    check_time("limits.default_timeout_ms", limits.default_timeout_ms, 1)?;
+    check_time("limits.connect_ms", limits.connect_ms, 1)?;
+    check_time("limits.silence_ms", limits.silence_ms, 1)?;
+    check_time("limits.claim_window_ms", limits.claim_window_ms, 1)?;
+    check_time("limits.lame_duck_ms", limits.lame_duck_ms, 0)?;
+    check_time("limits.quarantine_ms", limits.quarantine_ms, 0)?;
     if limits.largest_timeout_ms < limits.default_timeout_ms {
         return invalid_value(
             "limits.largest_timeout_ms",
             "a whole number of at least limits.default_timeout_ms",
         );
     }
+    check_time("limits.largest_timeout_ms", limits.largest_timeout_ms, 1)?;
     if limits.retry_percent > 100 {
         return invalid_value("limits.retry_percent", "a whole number from 0 to 100");
     }
@@ -141,6 +144,18 @@
     Ok(())
 }
 
+/// Longest time that a setting may state, in milliseconds: thirty days. Any such time can be added to a
+/// clock.
+const LONGEST_MILLIS: u64 = 30 * 24 * 60 * 60 * 1_000;
+
+fn check_time(path: &str, millis: u64, shortest: u64) -> Result<(), SettingsError> {
+    if (shortest..=LONGEST_MILLIS).contains(&millis) {
+        return Ok(());
+    }
+    let problem = format!("{millis}: expected a whole number from {shortest} to {LONGEST_MILLIS}");
+    Err(SettingsError::new(path, &problem))
+}
+
 fn invalid_value(path: &str, expected: &str) -> Result<(), SettingsError> {
     Err(SettingsError::new(path, &format!("expected {expected}")))
 }
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -10,7 +10,7 @@
     to: &'static str,
 }
 
-const INVALID: [InvalidSettings; 13] = [
+const INVALID: [InvalidSettings; 20] = [
     InvalidSettings {
         name: "header limit above that of the HTTP library",
         from: "\"services\": [",
@@ -71,6 +71,41 @@
         from: "\"services\": [",
         to: "\"limits\": { \"largest_timeout_ms\": 5 }, \"services\": [",
     },
+    InvalidSettings {
+        name: "body_ms without a bound",
+        from: "\"services\": [",
+        to: "\"limits\": { \"body_ms\": 18446744073709551615 }, \"services\": [",
+    },
+    InvalidSettings {
+        name: "largest_timeout_ms without a bound",
+        from: "\"services\": [",
+        to: "\"limits\": { \"largest_timeout_ms\": 18446744073709551615 }, \"services\": [",
+    },
+    InvalidSettings {
+        name: "connect_ms without a bound",
+        from: "\"services\": [",
+        to: "\"limits\": { \"connect_ms\": 18446744073709551615 }, \"services\": [",
+    },
+    InvalidSettings {
+        name: "silence_ms without a bound",
+        from: "\"services\": [",
+        to: "\"limits\": { \"silence_ms\": 18446744073709551615 }, \"services\": [",
+    },
+    InvalidSettings {
+        name: "claim_window_ms without a bound",
+        from: "\"services\": [",
+        to: "\"limits\": { \"claim_window_ms\": 18446744073709551615 }, \"services\": [",
+    },
+    InvalidSettings {
+        name: "lame_duck_ms without a bound",
+        from: "\"services\": [",
+        to: "\"limits\": { \"lame_duck_ms\": 18446744073709551615 }, \"services\": [",
+    },
+    InvalidSettings {
+        name: "quarantine_ms without a bound",
+        from: "\"services\": [",
+        to: "\"limits\": { \"quarantine_ms\": 18446744073709551615 }, \"services\": [",
+    },
     InvalidSettings {
         name: "not JSON",
         from: "{\n  \"instance\"",
