Send nothing on kept connections that may have fallen silent with another

Seen by callers: when kept connections to endpoints fall silent for good, requests fail although the endpoints are well. A call waits 600 ms on one kept connection, is sent again on another one, waits there too, and ends with 502, its attempts used up. Each further request does the same until the pool is empty.

Cause: a silence is noticed per run only. The repeated request takes the next kept connection, which is no better known than the first.

Evidence: silent_endpoints, on: of ten requests one after the other 4 calls and 1 stream are not served. It runs through proxies that silence what is open, on real processes.

Not kept: TCP_USER_TIMEOUT on connections to endpoints.

Change: a silence closes the idle connections to that endpoint which were last heard from before it, and those to all endpoints if two of them fell silent within 2 s. A request that is repeated after a silence takes no kept connection that was last heard from before. Health and blame of endpoints, and the waits of running streams, are as before.

After: all ten calls, calls that may run once and streams are served, at most two late (one for each endpoint), no call that may run once runs twice.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -35,6 +35,7 @@
 use crate::dialect::LeavingStatement;
 use crate::endpoint_connector::{ConnectError, EndpointConnector, OpenConnection, TunnelUse};
 use crate::endpoint_gate::{EndpointGate, GateRefusal};
+use crate::silence_table::{DoubtScope, SilenceTable};
 
 /// Longest time for which an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -77,6 +78,8 @@
     pub repeat: RepeatRule,
     /// Whether the request is sent only if requests may go to the endpoint.
     pub gate: GateRule,
+    /// Kept connections that were last heard from before this are not used; `None` to use all.
+    pub heard_after: Option<Instant>,
 }
 
 /// Whether a request is not sent while its endpoint leaves or wants none.
@@ -92,6 +95,8 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    /// When its last answer ended.
+    heard_at: Instant,
     until: Instant,
 }
 
@@ -106,6 +111,7 @@
     /// Bytes of the answers that are being read.
     buffered: Rc<Cell<usize>>,
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    silences: RefCell<SilenceTable>,
 }
 
 /// Bytes of one answer that is being read, as a part of all.
@@ -178,10 +184,12 @@
             self.task.abort();
             return;
         }
+        let now = Instant::now();
         connections.push(IdleConnection {
             sender,
             task: self.task.clone(),
-            until: Instant::now() + self.keep_for,
+            heard_at: now,
+            until: now + self.keep_for,
         });
     }
 }
@@ -310,6 +318,7 @@
             gate,
             buffered: Rc::default(),
             idle: Rc::default(),
+            silences: RefCell::new(SilenceTable::new()),
         }
     }
 
@@ -328,7 +337,7 @@
         self.check_gate(&call)?;
         let mut request = build_request(&call)?;
         if call.repeat == RepeatRule::Repeatable {
-            while let Some(guard) = self.take_idle(call.target) {
+            while let Some(guard) = self.take_idle(&call) {
                 self.check_gate(&call)?;
                 match exchange(guard, request).await {
                     Ok(answer) => return Ok(answer),
@@ -361,7 +370,8 @@
         Err(SendError::Closed(refusal))
     }
 
-    fn take_idle(&self, target: &EndpointTarget) -> Option<ConnectionGuard> {
+    fn take_idle(&self, call: &ForwardRequest<'_>) -> Option<ConnectionGuard> {
+        let target = call.target;
         let address = target.address;
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
@@ -376,7 +386,8 @@
         }
         let connections = idle.get_mut(&address)?;
         while let Some(connection) = connections.pop() {
-            if connection.until <= now || !connection.sender.is_ready() {
+            let is_doubted = call.heard_after.is_some_and(|at| connection.heard_at < at);
+            if is_doubted || connection.until <= now || !connection.sender.is_ready() {
                 connection.task.abort();
                 continue;
             }
@@ -411,6 +422,37 @@
         });
     }
 
+    /// Records that a connection to `target` has been silent since `silent_from` although an answer
+    /// was due, and closes the idle connections that may have fallen silent with it.
+    pub fn silence_noticed(&self, target: &EndpointTarget, silent_from: Instant) {
+        let now = self.connector.now();
+        let scope = self
+            .silences
+            .borrow_mut()
+            .silence_noticed(&target.endpoint, now);
+        let mut closed = 0;
+        self.idle.borrow_mut().retain(|address, connections| {
+            let is_in_scope = scope == DoubtScope::AllEndpoints || *address == target.address;
+            connections.retain(|connection| {
+                let is_doubted = is_in_scope && connection.heard_at < silent_from;
+                if is_doubted {
+                    connection.task.abort();
+                    closed += 1;
+                }
+                !is_doubted
+            });
+            !connections.is_empty()
+        });
+        if closed > 0 {
+            spdlog::info!("idle connections closed after a silence", kv: {
+                endpoint = target.endpoint.as_str(),
+                scope:? = scope,
+                silent_ms = silent_from.elapsed().as_millis(),
+                closed,
+            });
+        }
+    }
+
     async fn connect(&self, target: &EndpointTarget) -> Result<ConnectionGuard, SendError> {
         let opened = self.connector.connect(target).await;
         let OpenConnection { stream, tunnel } = opened.map_err(|error| match error {
--- a/crates/relay/src/endpoint_connector.rs
+++ b/crates/relay/src/endpoint_connector.rs
@@ -14,7 +14,7 @@
 use peer::{HostReport, TunnelError, TunnelRefusal, TunnelStream, open_tunnel, report_to_host};
 use policy::dispatch::placement::EndpointTarget;
 use policy::endpoint_path::{PathChange, PathPlan, PathProbe, PathTable};
-use policy::ids::{DomainId, EndpointId};
+use policy::ids::{DomainId, EndpointId, Millis};
 use policy::tunnel::{TunnelHost, TunnelTable};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
@@ -139,6 +139,12 @@
         self.paths.borrow().is_cut_off()
     }
 
+    /// Time of the clock that findings about paths are dated by.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
     /// Number of tunnels that this instance has opened so far.
     #[must_use]
     pub fn opened_tunnels(&self) -> u64 {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,6 +26,7 @@
 mod request;
 mod reservation;
 mod server;
+mod silence_table;
 mod store_era;
 mod store_outage;
 mod stream;
@@ -55,6 +56,7 @@
     MemoryClient, MemoryReservation, ReleaseOutcome, ReserveOutcome, reservation_ttl,
 };
 pub use crate::server::{bind, serve_callers, serve_probes};
+pub use crate::silence_table::{DoubtScope, SilenceTable};
 pub use crate::store_era::{EraChange, StoreEra};
 pub use crate::store_outage::{
     StoreOutage, first_follower_delay, informed_delay, later_follower_delay, prober_delay,
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -11,6 +11,7 @@
 use policy::outcome::{Refusal, RefusalReason, RetryReason, UnfinishedReason};
 use policy::part_blame::RunProgress;
 use policy::rate_limit::PermitDecision;
+use tokio::time::Instant;
 use transport::ExchangeError;
 
 use crate::answer::{RelayFailure, WholeAnswer, strip_connection_headers};
@@ -101,6 +102,7 @@
     let mut excluded = Vec::new();
     let mut ran = MayHaveRun::No;
     let mut runs = 0;
+    let mut heard_after = None;
     core.count_first_attempt(&request.service);
     for tries in 1..=MAX_TRIES {
         if request.time_left(core.now()) < MIN_TIME_LEFT {
@@ -109,7 +111,8 @@
         core.admit_run(request)
             .map_err(|refusal| quarantine_failure(refusal, ran))?;
         let guard = start_call(core, request, &mut excluded, ran).await?;
-        let error = match try_call(core, request, &guard).await {
+        let sent_at = Instant::now();
+        let error = match try_call(core, request, &guard, heard_after).await {
             Ok(answer) => {
                 // An endpoint may still report an error while it goes down.
                 if !answer.status.is_server_error() {
@@ -127,6 +130,10 @@
             };
             core.run_failed(request, &guard.target.endpoint, failure);
         }
+        if error.outcome == RunOutcome::Silent {
+            core.connections().silence_noticed(&guard.target, sent_at);
+            heard_after = Some(sent_at);
+        }
         if error.outcome == RunOutcome::NotConnected {
             core.endpoint_gone(&guard.target.endpoint);
         }
@@ -252,6 +259,7 @@
     core: &RelayCore,
     request: &RelayRequest,
     guard: &CallGuard,
+    heard_after: Option<Instant>,
 ) -> Result<WholeAnswer, CallError> {
     let left = request.time_left(core.now());
     let route = &request.admitted.route;
@@ -274,6 +282,7 @@
         body: request.body.clone(),
         repeat: route.repeat,
         gate: GateRule::Observed,
+        heard_after,
     };
     let endpoints = &request.trace.endpoints;
     endpoints.borrow_mut().push(guard.target.endpoint.clone());
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -17,6 +17,7 @@
 use policy::dispatch::placement::{EndpointTarget, PlacementGrant, RunOutcome, RunReport};
 use policy::ids::{EndpointId, Millis};
 use policy::outcome::{RefusalReason, RetryReason, UnfinishedReason};
+use tokio::time::Instant;
 
 use self::event_stream::EventStream;
 use self::host_watch::{HostSilence, wait_for_host};
@@ -82,6 +83,8 @@
     runs: u32,
     retry: Option<RetryReason>,
     silence_policy: SilencePolicy,
+    /// Begin of the last silence; connections that were last heard from before it are not used.
+    heard_after: Option<Instant>,
 }
 
 /// How to react to a silent run. Silence alone does not end an answer: a run is abandoned only
@@ -124,6 +127,7 @@
             runs: 0,
             retry: None,
             silence_policy: SilencePolicy::Replace,
+            heard_after: None,
         }
     }
 
@@ -198,6 +202,9 @@
                 Err(HostSilence::TimedOut)
                     if self.request.time_left(self.core.now()) >= MIN_TIME_LEFT =>
                 {
+                    let host = run.host.clone();
+                    let now = Instant::now();
+                    self.silence_noticed(&host, now.checked_sub(timeout).unwrap_or(now));
                     self.replace_silent_run().await;
                     continue;
                 }
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -6,9 +6,10 @@
 use ntex::http::header::CONTENT_TYPE;
 use ntex::http::{HeaderMap, StatusCode};
 use policy::catalog::RepeatRule;
-use policy::dispatch::placement::{PlacementGrant, RunOutcome};
+use policy::dispatch::placement::{EndpointTarget, PlacementGrant, RunOutcome};
 use policy::ids::{EndpointId, Millis};
 use policy::outcome::RetryReason;
+use tokio::time::Instant;
 
 use super::event_stream::EventStream;
 use super::host_watch::{HostSilence, wait_for_host};
@@ -80,6 +81,7 @@
         };
         let core = Rc::clone(&self.core);
         let opening = self.open_stream(grant, reservation.as_ref());
+        let sent_at = Instant::now();
         let opened = wait_for_host(&core, &grant.host, timeout, first_check, opening).await;
         let is_lost = matches!(opened, Err(HostSilence::HostLost));
         let silent = || RunError::new(RunOutcome::Silent, RetryReason::StreamSilent);
@@ -97,6 +99,9 @@
                 Ok((run, head))
             }
             Err(error) => {
+                if error.report.outcome == RunOutcome::Silent {
+                    self.silence_noticed(&grant.host, sent_at);
+                }
                 self.report_failure(&guard, &grant.host.endpoint, &error);
                 if is_lost {
                     self.core.endpoint_gone(&grant.host.endpoint);
@@ -106,6 +111,12 @@
         }
     }
 
+    /// Records that a connection to `host` has been silent since `silent_from`.
+    pub(super) fn silence_noticed(&mut self, host: &EndpointTarget, silent_from: Instant) {
+        self.core.connections().silence_noticed(host, silent_from);
+        self.heard_after = Some(silent_from);
+    }
+
     /// Reports a run that failed to the dispatcher.
     pub(super) fn report_failure(&self, guard: &RunGuard, endpoint: &EndpointId, error: &RunError) {
         guard.report(error.report.clone());
@@ -229,6 +240,7 @@
             body: request.body.clone(),
             repeat: request.admitted.route.repeat,
             gate: GateRule::Observed,
+            heard_after: self.heard_after,
         };
         let sent = self.core.connections().send(call).await;
         sent.map_err(|error| {
