Take the scheme of a caller's key in any case

The scheme is case-insensitive (RFC 9110, 11.1).

Evidence: scheme_of_the_key_may_have_any_case of crates/scenarios/tests/bad_requests.rs, before: 401 for "bearer"; after: 200 for the three forms, and the file's 9 tests pass. The relay's scheme is another.

--- a/crates/caller/src/completion.rs
+++ b/crates/caller/src/completion.rs
@@ -99,14 +99,18 @@
     Ok((completion, delivery))
 }
 
+/// Scheme of the `Authorization` header; its case does not matter.
+const KEY_SCHEME: &str = "Bearer";
+
 /// Reads the API key from `Authorization: Bearer` and returns its digest.
 pub(crate) fn api_key(request: &HttpRequest) -> Result<ApiKeyDigest, RefusalReason> {
     request
         .headers()
         .get("authorization")
         .and_then(|value| value.to_str().ok())
-        .and_then(|text| text.strip_prefix("Bearer "))
-        .map(ApiKeyDigest::new)
+        .and_then(|text| text.split_once(' '))
+        .filter(|(scheme, _)| scheme.eq_ignore_ascii_case(KEY_SCHEME))
+        .map(|(_, key)| ApiKeyDigest::new(key))
         .ok_or(RefusalReason::UnknownAccount)
 }
 
--- a/crates/scenarios/tests/bad_requests.rs
+++ b/crates/scenarios/tests/bad_requests.rs
@@ -366,3 +366,19 @@
     let slow = r#"jackdawpoint_refusals_total{reason="slow_caller"}"#;
     assert!((fleet.metric(&fleet.entries[0], slow).await - 1.0).abs() < f64::EPSILON);
 }
+
+/// Guards against refusing callers that write the scheme of their key in another case.
+#[ntex::test]
+async fn scheme_of_the_key_may_have_any_case() {
+    let fleet = Fleet::start(FleetPlan::default()).await;
+    let url = format!("http://{}/v1/completions", fleet.entries[0].callers);
+    for scheme in ["Bearer", "bearer", "BEARER"] {
+        let request = fleet
+            .client
+            .request(Method::POST, &url)
+            .header("authorization", format!("{scheme} {API_KEY}"));
+        let body = Bytes::from_static(GOOD_BODY.as_bytes());
+        let answer = fleet.client.send(request, body).await.expect(scheme);
+        assert_eq!(answer.status().as_u16(), 200, "{scheme}");
+    }
+}
