Try only requests that may be repeated at an instance that stops

If it is long, it is cut off with 502, which promises nothing: a caller may not repeat an order then, while a refusal with 503 lets it go to another instance at once. So orders are refused as before, the others are tried.

--- a/crates/relay/src/core/stopping.rs
+++ b/crates/relay/src/core/stopping.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
-use policy::catalog::ServiceCatalog;
+use policy::catalog::{RepeatRule, ServiceCatalog, ServiceRoute};
 use policy::duration_estimate::DurationEstimate;
 use policy::ids::Millis;
 use policy::outcome::{RefusalReason, UnfinishedReason};
@@ -80,20 +80,22 @@
 
     /// Whether a request on the route `name` that may last until `ends_at` is admitted: it is if it is
     /// expected to end before a stop cuts it off. A route without served requests is expected to take
-    /// its `aim`, which most requests take much less than: one that does not fit is tried, one
-    /// request at a time.
-    pub(crate) fn stop_admission(&self, name: &str, aim: Millis, ends_at: Millis) -> StopAdmission {
+    /// its aim, which most requests take much less than: one that does not fit is tried, one
+    /// request at a time. A trial may be cut off, so a request that may run only once is refused.
+    pub(crate) fn stop_admission(&self, route: &ServiceRoute, ends_at: Millis) -> StopAdmission {
+        let name = route.name.as_str();
         let Some(answers_at) = self.stop.answers_at.get() else {
             return StopAdmission::Expected;
         };
         let durations = self.stop.durations.borrow();
         let known = durations.get(name).map(DurationEstimate::upper);
-        let expected = known.unwrap_or(aim);
+        let expected = known.unwrap_or(route.aim);
         if ends_at <= answers_at || self.now() + expected <= answers_at {
             return StopAdmission::Expected;
         }
         let trials = &self.stop.trials;
-        if known.is_some() || !trials.borrow_mut().insert(name.to_owned()) {
+        let may_be_tried = known.is_none() && route.repeat == RepeatRule::Repeatable;
+        if !may_be_tried || !trials.borrow_mut().insert(name.to_owned()) {
             return StopAdmission::Refused;
         }
         StopAdmission::Trial(RouteTrial {
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -126,7 +126,7 @@
         let service = route.target(self.draw()).ok_or_else(not_ready)?.clone();
         let timeout = head.time_left.unwrap_or(route.timeout);
         let ends_at = arrived + timeout.min(route.timeout);
-        let trial = match self.stop_admission(&route.name, route.aim, ends_at) {
+        let trial = match self.stop_admission(route, ends_at) {
             StopAdmission::Expected => None,
             StopAdmission::Trial(trial) => Some(trial),
             StopAdmission::Refused => return Err(not_ready()),
