--- a/crates/policy/tests/notice_times.rs
+++ b/crates/policy/tests/notice_times.rs
@@ -81,7 +81,7 @@
             IMMEDIATE_WATCH_MARGIN,
             ANSWER_TIME,
         ];
-        // The follower is told of a lost history, and reads all entries too.
+        // The follower learns that its history is lost, and reads all entries too.
         let by_a_reader = [
             WATCH_PAUSE,
             READER_WATCH_WAIT,
--- a/crates/soak/src/storm/mod.rs
+++ b/crates/soak/src/storm/mod.rs
@@ -64,7 +64,7 @@
 /// Times between two versions, in milliseconds: in quick succession, and far apart.
 const VERSION_GAPS_MS: [[u64; 4]; 2] = [[100, 300, 900, 2_500], [2_500, 4_500, 6_000, 8_000]];
 
-/// One of so many seeds has large versions, and the number of their routes that nobody calls.
+/// One of so many seeds has large versions, and the number of their unused routes.
 const LARGE_SEEDS: u64 = 2;
 const LARGE_IDLE_ROUTES: usize = 1_400;
 
--- a/crates/soak/src/storm/version.rs
+++ b/crates/soak/src/storm/version.rs
@@ -15,7 +15,7 @@
 /// Service whose endpoints take their time.
 pub const SLOW_SERVICE: &str = "slow";
 
-/// Service with engines that nobody calls: instances open sessions with stewards only if a version
+/// Service with engines that gets no requests: instances open sessions with stewards only if a version
 /// has such a service.
 const ENGINE_SERVICE: &str = "engines";
 
