Bound the work of placement rounds under a full queue

Cause: the driver ran a round over the whole queue on every request, first event and end of a run, and computed the estimates of all engines for each request.

Change: while more than twelve requests are queued, rounds are at least 15 ms apart and take at most 40 % of the time; between them only new short requests are decided. Estimates are computed once a round. Short requests that are late go behind those that can be in time, and short requests that would wait for longer than their target are refused when they arrive.

--- a/crates/model/src/experiment.rs
+++ b/crates/model/src/experiment.rs
@@ -140,7 +140,8 @@
                 SimEvent::PassEnd(engine) => self.end_pass(engine),
                 SimEvent::Round => {
                     self.is_round_scheduled = false;
-                    self.decide();
+                    let decisions = self.dispatcher.decide(f64_to_u64(self.now));
+                    self.apply(decisions);
                 }
                 SimEvent::Deadline(record) => self.expire(record),
             }
@@ -228,7 +229,12 @@
     }
 
     fn decide(&mut self) {
-        let decisions = self.dispatcher.decide(f64_to_u64(self.now));
+        let now = f64_to_u64(self.now);
+        let decisions = self.dispatcher.decide_after_change(now);
+        self.apply(decisions);
+    }
+
+    fn apply(&mut self, decisions: Vec<(RunKey, PlacementDecision)>) {
         for (key, decision) in decisions {
             let record = usize::try_from(key.number).unwrap_or(usize::MAX);
             match decision {
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -9,8 +9,10 @@
     EndpointInfo, InFlightRun, PlacementDecision, PlacementRequest, RunKey, RunOutcome, RunPhase,
     RunReport,
 };
-use super::pool_dispatcher::{EndedRun, NO_ENDPOINT_RETRY_AFTER, PoolDispatcher};
+use super::pool_dispatcher::{DispatchWork, EndedRun, NO_ENDPOINT_RETRY_AFTER, PoolDispatcher};
 use super::queued_request::QueuedRequest;
+use super::short_queue::ShortQueueGauge;
+use crate::cast::f64_to_u64;
 use crate::ids::{Millis, PoolId};
 use crate::outcome::{Refusal, RefusalReason};
 use crate::poison::{CrashReport, PoisonStatus, PoisonTable};
@@ -28,6 +30,8 @@
     run_pools: HashMap<RunKey, PoolId>,
     poison: PoisonTable,
     rates: RateTable,
+    /// Earliest time of the next round while many requests are queued.
+    next_round_at: Millis,
 }
 
 impl Dispatcher {
@@ -41,6 +45,7 @@
             run_pools: HashMap::new(),
             poison,
             rates: RateTable::new(),
+            next_round_at: 0,
         }
     }
 
@@ -68,6 +73,8 @@
             runs: HashMap::new(),
             budget: RetryBudget::new(self.limits.retries.clone()),
             outages: OutageTable::default(),
+            short_gauge: ShortQueueGauge::default(),
+            work: DispatchWork::default(),
         };
         self.pools.insert(pool.clone(), pool_dispatcher);
     }
@@ -91,7 +98,8 @@
 
     /// Queues a placement request for [`decide`](Self::decide), or refuses it at once.
     ///
-    /// Refuses requests for an unknown pool, quarantined prompts and retries beyond the budget.
+    /// Refuses requests for an unknown pool, quarantined prompts, retries beyond the budget, and short
+    /// requests that would wait for longer than their target.
     pub fn submit(
         &mut self,
         key: RunKey,
@@ -113,6 +121,9 @@
             let retry_after = (request.time_left / 4).max(self.limits.shortest_return);
             return Some(Refusal::new(RefusalReason::RetryBudget, retry_after));
         }
+        if let Some(refusal) = pool_dispatcher.short_refusal(&self.limits, &request, now) {
+            return Some(refusal);
+        }
         self.run_pools.insert(key, request.pool.clone());
         let prefill_ms = pool_dispatcher.profile.prefill_ms(request.prompt_tokens);
         pool_dispatcher.queued.push(QueuedRequest {
@@ -120,6 +131,7 @@
             request,
             enqueued_at: now,
             prefill_ms,
+            is_new: true,
         });
         None
     }
@@ -208,16 +220,57 @@
 
     /// Places or refuses every queued request that can be decided now; the others stay queued.
     pub fn decide(&mut self, now: Millis) -> Vec<(RunKey, PlacementDecision)> {
+        self.next_round_at = now + self.limits.round_interval;
         let mut decisions = Vec::new();
         for pool_dispatcher in self.pools.values_mut() {
             pool_dispatcher.decide(&self.limits, &mut self.rates, now, &mut decisions);
         }
-        for (key, decision) in &decisions {
+        self.forget_refused(&decisions);
+        decisions
+    }
+
+    /// Decides after a request, a first event or the end of a run: on all queued requests, or, if many
+    /// are queued and the next round is not due, on new short requests only.
+    pub fn decide_after_change(&mut self, now: Millis) -> Vec<(RunKey, PlacementDecision)> {
+        if self.counts().0 <= self.limits.immediate_queue || self.is_round_due(now) {
+            return self.decide(now);
+        }
+        let mut decisions = Vec::new();
+        for pool_dispatcher in self.pools.values_mut() {
+            pool_dispatcher.decide_new(&self.limits, &mut self.rates, now, &mut decisions);
+        }
+        self.forget_refused(&decisions);
+        decisions
+    }
+
+    /// Whether the next round over all queued requests is due.
+    #[must_use]
+    pub fn is_round_due(&self, now: Millis) -> bool {
+        now >= self.next_round_at
+    }
+
+    /// Records that the last round took `elapsed_ms` and ended at `now`: while many requests are
+    /// queued, the next one waits until rounds take no more than their share of the time.
+    pub fn round_took(&mut self, elapsed_ms: f64, now: Millis) {
+        let rest_ms = elapsed_ms * (1.0 / self.limits.round_share - 1.0);
+        self.next_round_at = self.next_round_at.max(now + f64_to_u64(rest_ms));
+    }
+
+    /// Work done so far, over all pools.
+    #[must_use]
+    pub fn work(&self) -> DispatchWork {
+        let pools = self.pools.values();
+        DispatchWork {
+            searches: pools.map(|pool| pool.work.searches).sum(),
+        }
+    }
+
+    fn forget_refused(&mut self, decisions: &[(RunKey, PlacementDecision)]) {
+        for (key, decision) in decisions {
             if let PlacementDecision::Refused(_) = decision {
                 self.run_pools.remove(key);
             }
         }
-        decisions
     }
 
     fn pool_of(&mut self, key: RunKey) -> Option<&mut PoolDispatcher> {
--- a/crates/policy/src/dispatch/limits.rs
+++ b/crates/policy/src/dispatch/limits.rs
@@ -80,6 +80,18 @@
     pub longest_wait: f64,
     /// Queued requests that fail to be placed in one round before the search stops for that round.
     pub tries_per_round: usize,
+    /// Queued requests up to which every change starts a placement round. With more, rounds are
+    /// `round_interval` apart, so that a burst does not cost a round for each of its messages.
+    pub immediate_queue: usize,
+    /// Time between two placement rounds while more requests are queued than `immediate_queue`, in
+    /// milliseconds: short against a pass of an engine.
+    pub round_interval: Millis,
+    /// Share of the processor's time that placement rounds may take while more requests are queued
+    /// than `immediate_queue`; the rest is for messages, so that members still get answers.
+    pub round_share: f64,
+    /// Short requests that are queued in any case, before the rate at which such requests are placed
+    /// bounds the queue: about as many as arrive during a pause of a fleet of engines.
+    pub short_queue: usize,
     /// Minimum retry-after time of a refusal, in milliseconds.
     pub shortest_return: Millis,
     /// Number of runs of one prompt that break off before their first event, on as many endpoints,
@@ -119,6 +131,10 @@
             latest_start: 0.45,
             longest_wait: 1.0,
             tries_per_round: 12,
+            immediate_queue: 12,
+            round_interval: 15,
+            round_share: 0.4,
+            short_queue: 64,
             shortest_return: 300,
             quarantine_crashes: 3,
             quarantine_time: 30_000,
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -15,7 +15,10 @@
 mod pool_dispatcher;
 mod prefill_queue;
 mod queued_request;
+mod round;
 mod search;
+mod short_queue;
 
 pub use dispatcher::Dispatcher;
 pub use limits::DispatchLimits;
+pub use pool_dispatcher::DispatchWork;
--- a/crates/policy/src/dispatch/pool_dispatcher.rs
+++ b/crates/policy/src/dispatch/pool_dispatcher.rs
@@ -12,8 +12,10 @@
     PlacementRequest, RunKey, RunOutcome, RunPhase, RunReport,
 };
 use super::prefill_queue::{PrefillShare, QueuedPart};
-use super::queued_request::{QueueClass, QueueContention, QueuedRequest};
+use super::queued_request::{QueueClass, QueueContention, QueuedRequest, retry_after_time};
+use super::round::RoundState;
 use super::search::{HelperPlan, PausePolicy, PlacementPlan, PlacementSearch};
+use super::short_queue::ShortQueueGauge;
 use crate::cast::{f64_to_u64, u64_to_f64, usize_to_f64};
 use crate::ids::{EndpointId, Millis};
 use crate::outcome::{Refusal, RefusalReason};
@@ -74,6 +76,16 @@
     pub(super) runs: HashMap<RunKey, PlacedRun>,
     pub(super) budget: RetryBudget,
     pub(super) outages: OutageTable,
+    pub(super) short_gauge: ShortQueueGauge,
+    pub(super) work: DispatchWork,
+}
+
+/// Work that a dispatcher has done so far.
+#[derives::value]
+#[derive(Default)]
+pub struct DispatchWork {
+    /// Searches for a placement.
+    pub searches: u64,
 }
 
 impl PoolDispatcher {
@@ -224,6 +236,26 @@
         true
     }
 
+    /// The refusal of a short request that would wait for longer than its target behind those that
+    /// are queued.
+    pub(super) fn short_refusal(
+        &mut self,
+        limits: &DispatchLimits,
+        request: &PlacementRequest,
+        now: Millis,
+    ) -> Option<Refusal> {
+        if request.pause_aim > limits.tight_pause {
+            return None;
+        }
+        let is_on_time = |queued: &&QueuedRequest| queued.class(limits, now) == QueueClass::Short;
+        let queued = self.queued.iter().filter(is_on_time).count();
+        let target = request.first_event_aim;
+        let wait_ms = self.short_gauge.excess_wait(limits, queued, target, now)?;
+        let retry_after = retry_after_time(limits, wait_ms, request.time_left);
+        Some(Refusal::new(RefusalReason::Overloaded, retry_after))
+    }
+
+    /// Decides on all queued requests.
     pub(super) fn decide(
         &mut self,
         limits: &DispatchLimits,
@@ -234,24 +266,25 @@
         if self.queued.is_empty() {
             return;
         }
-        for endpoint in &mut self.endpoints {
-            endpoint.advance(&self.profile, now);
-        }
-        let mut queued = std::mem::take(&mut self.queued);
-        let sort_key =
-            |queued: &QueuedRequest| (queued.class(limits, now), queued.rank(limits, now));
-        queued.sort_by(|left, right| {
-            let (left, right) = (sort_key(left), sort_key(right));
-            left.0.cmp(&right.0).then(left.1.total_cmp(&right.1))
-        });
+        let mut round = self.start_round(limits, now);
+        let queued = std::mem::take(&mut self.queued);
+        let with_key = |queued: QueuedRequest| {
+            let key = (queued.class(limits, now), queued.rank(limits, now));
+            (key, queued)
+        };
+        let mut ranked: Vec<_> = queued.into_iter().map(with_key).collect();
+        ranked
+            .sort_by(|(left, _), (right, _)| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)));
         let mut ahead = QueuedAhead::default();
-        for queued in queued {
-            if let Some(decision) = self.decide_one(&queued, limits, rates, &ahead, now) {
+        for ((class, _), mut queued) in ranked {
+            let decision = self.decide_one(&queued, limits, rates, &ahead, &mut round);
+            if let Some(decision) = decision {
                 decisions.push((queued.key, decision));
                 continue;
             }
+            queued.is_new = false;
             ahead.count += 1;
-            if queued.class(limits, now) != QueueClass::Late {
+            if class != QueueClass::Late {
                 ahead.on_time += 1;
             }
             ahead.prefill_ms += queued.prefill_ms;
@@ -259,22 +292,54 @@
         }
     }
 
+    /// Decides on short requests that have arrived since the last decision, ahead of those that are
+    /// queued: their targets are the nearest, and in a burst the newest can still be in time.
+    pub(super) fn decide_new(
+        &mut self,
+        limits: &DispatchLimits,
+        rates: &mut RateTable,
+        now: Millis,
+        decisions: &mut Vec<(RunKey, PlacementDecision)>,
+    ) {
+        let is_new = |queued: &QueuedRequest| {
+            queued.is_new && queued.class(limits, now) == QueueClass::Short
+        };
+        if !self.queued.iter().any(is_new) {
+            return;
+        }
+        let mut round = self.start_round(limits, now);
+        for mut queued in std::mem::take(&mut self.queued) {
+            let is_considered = is_new(&queued);
+            queued.is_new &= !is_considered;
+            if is_considered {
+                let ahead = QueuedAhead::default();
+                let decision = self.decide_one(&queued, limits, rates, &ahead, &mut round);
+                if let Some(decision) = decision {
+                    decisions.push((queued.key, decision));
+                    continue;
+                }
+            }
+            self.queued.push(queued);
+        }
+    }
+
+    fn start_round(&mut self, limits: &DispatchLimits, now: Millis) -> RoundState {
+        for endpoint in &mut self.endpoints {
+            endpoint.advance(&self.profile, now);
+        }
+        RoundState::new(&self.endpoints, &self.profile, limits, now)
+    }
+
     fn decide_one(
         &mut self,
         queued: &QueuedRequest,
         limits: &DispatchLimits,
         rates: &mut RateTable,
         ahead: &QueuedAhead,
-        now: Millis,
+        round: &mut RoundState,
     ) -> Option<PlacementDecision> {
-        let search = PlacementSearch {
-            profile: &self.profile,
-            limits,
-            rates,
-            endpoints: &self.endpoints,
-            now,
-        };
-        let usable_endpoints = search.usable(&queued.request);
+        let now = round.now();
+        let usable_endpoints = round.usable(&self.endpoints, &queued.request);
         let usable = usable_endpoints.len();
         let endpoints = usable_endpoints
             .iter()
@@ -290,71 +355,72 @@
             let refusal = Refusal::new(RefusalReason::PromptTooLarge, queued.request.time_left);
             return Some(PlacementDecision::Refused(refusal));
         }
-        let strict_until = u64_to_f64(queued.request.first_event_aim) * limits.strict_share;
-        let pause_policy = if u64_to_f64(queued.waited(now)) < strict_until {
-            PausePolicy::Strict
-        } else {
-            PausePolicy::Relaxed
-        };
-        let plan = if ahead.count < limits.tries_per_round {
-            search.plan(&queued.request, pause_policy)
-        } else {
-            None
-        };
         let ideal_ms = self.ideal_ms(queued, engines);
-        let contention = ahead.contention();
-        let plan = plan
-            .filter(|plan| queued.accepts(limits, plan.first_event_ms, ideal_ms, contention, now));
-        if let Some(plan) = plan {
-            rates.take(&self.endpoints[plan.host].info.target.endpoint, now);
-            return Some(PlacementDecision::Granted(self.commit(
-                queued.key,
-                &queued.request,
-                &plan,
-                now,
-            )));
+        if ahead.count < limits.tries_per_round {
+            let plan = self.search(queued, limits, rates, round, &usable_endpoints);
+            let contention = ahead.contention();
+            let accepted = plan.filter(|plan| {
+                queued.accepts(limits, plan.first_event_ms, ideal_ms, contention, now)
+            });
+            if let Some(plan) = accepted {
+                rates.take(&self.endpoints[plan.host].info.target.endpoint, now);
+                if queued.is_short(limits) {
+                    self.short_gauge.placed(now);
+                }
+                let grant = self.commit(queued.key, &queued.request, &plan, now);
+                for index in plan.engines() {
+                    round.refresh(index, &self.endpoints[index], &self.profile, limits);
+                }
+                return Some(PlacementDecision::Granted(grant));
+            }
         }
         if let Some(refusal) = queued.limit_refusal(limits, limit_wait_ms, now) {
             return Some(PlacementDecision::Refused(refusal));
         }
-        let wait_ms = self.expected_wait_ms(usable, limits, ahead.prefill_ms, now);
-        let first_event_ms = wait_ms.max(limit_wait_ms) + ideal_ms;
-        let refusal = match queued.class(limits, now) {
-            QueueClass::Short => queued.refusal(limits, limit_wait_ms, now),
-            QueueClass::OnTime | QueueClass::Late => queued.refusal(limits, first_event_ms, now),
+        let refusal = if queued.is_short(limits) {
+            queued.refusal(limits, limit_wait_ms, now)
+        } else {
+            let wait_ms = expected_wait_ms(round, usable, limits, ahead.prefill_ms);
+            let first_event_ms = wait_ms.max(limit_wait_ms) + ideal_ms;
+            queued.refusal(limits, first_event_ms, now)
         };
         refusal.map(PlacementDecision::Refused)
     }
 
+    fn search(
+        &mut self,
+        queued: &QueuedRequest,
+        limits: &DispatchLimits,
+        rates: &RateTable,
+        round: &RoundState,
+        usable: &[usize],
+    ) -> Option<PlacementPlan> {
+        let now = round.now();
+        let strict_until = u64_to_f64(queued.request.first_event_aim) * limits.strict_share;
+        let pause_policy = if u64_to_f64(queued.waited(now)) < strict_until {
+            PausePolicy::Strict
+        } else {
+            PausePolicy::Relaxed
+        };
+        self.work.searches += 1;
+        let search = PlacementSearch {
+            profile: &self.profile,
+            limits,
+            rates,
+            endpoints: &self.endpoints,
+            round,
+            usable,
+            now,
+        };
+        search.plan(&queued.request, pause_policy)
+    }
+
     /// Time until the first event when `engines` idle engines share the prefill, in milliseconds.
     fn ideal_ms(&self, queued: &QueuedRequest, engines: usize) -> f64 {
         let pass_ms = self.profile.pass_ms(1, queued.request.prompt_tokens);
         queued.prefill_ms / usize_to_f64(engines.max(1)) + pass_ms
     }
 
-    /// Time until all pending prefill of the engines and `ahead_ms` of prefill of requests that are
-    /// queued ahead will be done, in milliseconds.
-    fn expected_wait_ms(
-        &self,
-        usable: usize,
-        limits: &DispatchLimits,
-        ahead_ms: f64,
-        now: Millis,
-    ) -> f64 {
-        let queued_ms: f64 = self
-            .endpoints
-            .iter()
-            .filter(|endpoint| endpoint.is_ready())
-            .map(|endpoint| {
-                endpoint
-                    .estimate(&self.profile, PrefillShare::Whole, now)
-                    .pending_ms
-            })
-            .sum();
-        let rate = usize_to_f64(usable) * limits.reading_share;
-        (queued_ms + ahead_ms) / rate.max(1.0)
-    }
-
     fn commit(
         &mut self,
         key: RunKey,
@@ -413,3 +479,15 @@
         grant
     }
 }
+
+/// Time until all pending prefill of the engines and `ahead_ms` of prefill of requests that are
+/// queued ahead will be done, in milliseconds.
+fn expected_wait_ms(
+    round: &RoundState,
+    usable: usize,
+    limits: &DispatchLimits,
+    ahead_ms: f64,
+) -> f64 {
+    let rate = usize_to_f64(usable) * limits.reading_share;
+    (round.pending_ms() + ahead_ms) / rate.max(1.0)
+}
--- a/crates/policy/src/dispatch/queued_request.rs
+++ b/crates/policy/src/dispatch/queued_request.rs
@@ -26,6 +26,8 @@
     pub(super) enqueued_at: Millis,
     /// Prefill time of the prompt by the cost model, in milliseconds.
     pub(super) prefill_ms: f64,
+    /// Whether no decision on the request has been tried yet.
+    pub(super) is_new: bool,
 }
 
 /// Class of a queued request; the classes are served in this order.
@@ -33,6 +35,9 @@
 pub(super) enum QueueClass {
     /// The pause target is tight, so the request is short and costs little.
     Short,
+    /// A short request whose first-event target has passed: it still costs little, but those that can
+    /// be in time go first.
+    LateShort,
     /// The first-event target has not passed yet.
     OnTime,
     /// The first-event target has passed.
@@ -60,9 +65,19 @@
         self.request.time_left.saturating_sub(elapsed_ms)
     }
 
+    /// Whether the request has a tight pause target.
+    pub(super) fn is_short(&self, limits: &DispatchLimits) -> bool {
+        self.request.pause_aim <= limits.tight_pause
+    }
+
     pub(super) fn class(&self, limits: &DispatchLimits, now: Millis) -> QueueClass {
-        if self.request.pause_aim <= limits.tight_pause {
-            return QueueClass::Short;
+        if self.is_short(limits) {
+            let is_late = self.waited(now) >= self.request.first_event_aim;
+            return if is_late {
+                QueueClass::LateShort
+            } else {
+                QueueClass::Short
+            };
         }
         if self.waited(now) < self.request.first_event_aim {
             return QueueClass::OnTime;
@@ -91,7 +106,7 @@
         now: Millis,
     ) -> bool {
         match self.class(limits, now) {
-            QueueClass::Short => true,
+            QueueClass::Short | QueueClass::LateShort => true,
             QueueClass::OnTime => {
                 let target = self.request.first_event_aim;
                 let time_left = u64_to_f64(target.saturating_sub(self.waited(now)));
@@ -147,7 +162,11 @@
 
 /// Retry-after time of a refusal: the time until the work ahead is expected to be done, up to the
 /// maximum that callers honour.
-fn retry_after_time(limits: &DispatchLimits, first_event_ms: f64, time_left: Millis) -> Millis {
+pub(super) fn retry_after_time(
+    limits: &DispatchLimits,
+    first_event_ms: f64,
+    time_left: Millis,
+) -> Millis {
     let max_retry_after = (time_left / RETRY_AFTER_DIVISOR).max(limits.shortest_return);
     f64_to_u64(first_event_ms).clamp(limits.shortest_return, max_retry_after)
 }
--- a/crates/policy/src/dispatch/search.rs
+++ b/crates/policy/src/dispatch/search.rs
@@ -10,9 +10,10 @@
 use super::endpoint::EndpointLoad;
 use super::engine::EngineProfile;
 use super::limits::DispatchLimits;
-use super::placement::{PlacementRequest, PlacementScope};
+use super::placement::PlacementRequest;
 use super::prefill_queue::{EngineMode, PartEstimate, PrefillShare};
-use crate::cast::{f64_to_u64, u64_to_f64, usize_to_f64};
+use super::round::{EngineState, RoundState};
+use crate::cast::{u64_to_f64, usize_to_f64};
 use crate::ids::{DomainId, Millis};
 use crate::rate_limit::RateTable;
 
@@ -54,39 +55,37 @@
     pub(super) due_ms: f64,
 }
 
+impl PlacementPlan {
+    /// Indices of the engines, the host first.
+    pub(super) fn engines(&self) -> impl Iterator<Item = usize> + '_ {
+        let helpers = self.helpers.iter().map(|helper| helper.index);
+        std::iter::once(self.host).chain(helpers)
+    }
+}
+
 /// An engine that may be used for a request, with the values that its cost depends on.
 struct PlacementCandidate<'a> {
     index: usize,
     endpoint: &'a EndpointLoad,
-    slowdown: f64,
-    /// Estimate for the whole prompt if it is queued now.
-    whole_estimate: PartEstimate,
-    /// Estimate for a part of the prompt if it is queued now.
-    part_estimate: PartEstimate,
+    state: &'a EngineState,
     /// Prefill time that the pause targets of the hosted runs leave for the part, in milliseconds.
     prefill_budget_ms: f64,
-    /// Time of a pass without prefill once all hosted runs decode, in milliseconds.
-    pass_ms: f64,
-    /// Number of hosted runs with a tight pause target.
-    tight_runs: usize,
-    /// Free memory in tokens.
-    free_tokens: u64,
 }
 
 impl PlacementCandidate<'_> {
     fn estimate(&self, share: PrefillShare) -> &PartEstimate {
         match share {
-            PrefillShare::Whole => &self.whole_estimate,
-            PrefillShare::Part => &self.part_estimate,
+            PrefillShare::Whole => &self.state.whole_estimate,
+            PrefillShare::Part => &self.state.part_estimate,
         }
     }
 
     fn part_end_ms(&self, share: PrefillShare, part_ms: f64) -> f64 {
-        self.estimate(share).delay_ms + part_ms * self.slowdown
+        self.estimate(share).delay_ms + part_ms * self.state.slowdown
     }
 
     fn fits(&self, share: PrefillShare, part_ms: f64) -> bool {
-        part_ms * self.slowdown <= self.prefill_budget_ms.min(self.estimate(share).slack_ms)
+        part_ms * self.state.slowdown <= self.prefill_budget_ms.min(self.estimate(share).slack_ms)
     }
 
     /// Whether the engine can decode a run whose events should come at most `pause_ms` apart.
@@ -95,8 +94,8 @@
     /// runs in the same pass as the run's second event and delays that event.
     fn can_decode(&self, share: PrefillShare, pause_ms: f64) -> bool {
         let defers_pending =
-            share == PrefillShare::Part && self.part_estimate.mode == EngineMode::PrefillOnly;
-        !defers_pending || self.part_estimate.pending_ms + self.pass_ms <= pause_ms
+            share == PrefillShare::Part && self.state.part_estimate.mode == EngineMode::PrefillOnly;
+        !defers_pending || self.state.part_estimate.pending_ms + self.state.pass_ms <= pause_ms
     }
 }
 
@@ -123,7 +122,7 @@
         if host.part_end_ms(share, part_ms) >= slowest {
             return 0.0;
         }
-        host.pass_ms / 2.0
+        host.state.pass_ms / 2.0
     }
 }
 
@@ -133,6 +132,9 @@
     pub(super) limits: &'a DispatchLimits,
     pub(super) rates: &'a RateTable,
     pub(super) endpoints: &'a [EndpointLoad],
+    pub(super) round: &'a RoundState,
+    /// Indices of the engines that the request may use.
+    pub(super) usable: &'a [usize],
     pub(super) now: Millis,
 }
 
@@ -162,99 +164,34 @@
         best.map(|(_, plan)| plan)
     }
 
-    /// Indices of the engines that may be used: ready, not excluded, not ejected and within scope.
-    ///
-    /// If all ready engines are ejected, or none is within the scope, that condition is ignored.
-    pub(super) fn usable(&self, request: &PlacementRequest) -> Vec<usize> {
-        let is_available = |index: &usize| {
-            let endpoint = &self.endpoints[*index];
-            endpoint.is_ready() && !request.excluded.contains(&endpoint.info.target.endpoint)
-        };
-        let available: Vec<usize> = (0..self.endpoints.len()).filter(is_available).collect();
-        let healthy = self.without_ejected(&available);
-        let PlacementScope::Domain(domain) = &request.scope else {
-            return healthy;
-        };
-        let is_in_domain = |index: &usize| self.endpoints[*index].info.domain == *domain;
-        let in_domain: Vec<usize> = healthy.iter().copied().filter(is_in_domain).collect();
-        if in_domain.is_empty() {
-            healthy
-        } else {
-            in_domain
-        }
-    }
-
-    /// The engines that are not ejected, or all of them if every one is ejected.
-    fn without_ejected(&self, available: &[usize]) -> Vec<usize> {
-        let is_healthy = |index: &usize| !self.endpoints[*index].health.is_ejected(self.now);
-        let healthy: Vec<usize> = available.iter().copied().filter(is_healthy).collect();
-        if healthy.is_empty() {
-            return available.to_vec();
-        }
-        healthy
-    }
-
     fn candidates(
         &self,
         request: &PlacementRequest,
         pause_policy: PausePolicy,
     ) -> Vec<PlacementCandidate<'_>> {
-        let usable = self.usable(request);
-        let may_get_request = |index: &usize| {
-            let endpoint = &self.endpoints[*index].info.target.endpoint;
+        let may_get_request = |index: &&usize| {
+            let endpoint = &self.endpoints[**index].info.target.endpoint;
             self.rates.wait_ms(endpoint, self.now) == 0
         };
-        usable
-            .into_iter()
-            .filter(may_get_request)
-            .map(|index| self.candidate(index, request, pause_policy))
-            .collect()
-    }
-
-    fn candidate(
-        &self,
-        index: usize,
-        request: &PlacementRequest,
-        pause_policy: PausePolicy,
-    ) -> PlacementCandidate<'_> {
-        let endpoint = &self.endpoints[index];
-        let pass_ms = endpoint.pass_ms(self.profile, self.now);
-        let estimate = |share| {
-            let mut part_estimate = endpoint.estimate(self.profile, share, self.now);
-            if part_estimate.mode == EngineMode::PrefillOnly && pass_ms > 0.0 {
-                // A hosted run may start to decode before the part has been prefilled.
-                part_estimate.delay_ms = part_estimate.pending_ms + pass_ms;
-            }
-            part_estimate
+        let usable = self.usable.iter().filter(may_get_request);
+        let candidate = |index: &usize| {
+            let state = self.round.engine(*index)?;
+            Some(PlacementCandidate {
+                index: *index,
+                endpoint: &self.endpoints[*index],
+                state,
+                prefill_budget_ms: self.prefill_budget_ms(state, request, pause_policy),
+            })
         };
-        let (whole_estimate, part_estimate) =
-            (estimate(PrefillShare::Whole), estimate(PrefillShare::Part));
-        let total = u64_to_f64(self.profile.memory_tokens) * self.limits.memory_share;
-        PlacementCandidate {
-            index,
-            endpoint,
-            slowdown: endpoint.health.slowdown(self.now),
-            prefill_budget_ms: self.prefill_budget_ms(
-                endpoint,
-                request,
-                pass_ms + part_estimate.same_pass_ms,
-                pause_policy,
-            ),
-            whole_estimate,
-            part_estimate,
-            pass_ms,
-            tight_runs: endpoint.tight_run_count(self.limits),
-            free_tokens: f64_to_u64(total).saturating_sub(endpoint.memory_used()),
-        }
+        usable.filter_map(candidate).collect()
     }
 
-    /// Prefill time that may be added to a pass of `pass_ms` without breaking the pause targets of
-    /// the hosted runs, in milliseconds.
+    /// Prefill time that may be added to the next pass of an engine without breaking the pause
+    /// targets of the hosted runs, in milliseconds.
     fn prefill_budget_ms(
         &self,
-        endpoint: &EndpointLoad,
+        state: &EngineState,
         request: &PlacementRequest,
-        pass_ms: f64,
         pause_policy: PausePolicy,
     ) -> f64 {
         let limits = self.limits;
@@ -262,9 +199,10 @@
         if is_tight_request && pause_policy == PausePolicy::Relaxed {
             return f64::INFINITY;
         }
-        let Some(pause) = endpoint.tightest_pause_aim() else {
+        let Some(pause) = state.tightest_pause else {
             return f64::INFINITY;
         };
+        let pass_ms = state.pass_ms + state.part_estimate.same_pass_ms;
         let slack = match pause_policy {
             PausePolicy::Relaxed if pause > limits.tight_pause => limits.relaxed_pause,
             PausePolicy::Relaxed | PausePolicy::Strict => 1.0,
@@ -361,7 +299,7 @@
         tokens: u64,
     ) -> Option<ChosenEngines<'a, 'b>> {
         let is_host = |entry: &&CostedCandidate<'_, '_>| {
-            self.can_host(request, entry.1, split) && entry.1.free_tokens >= tokens
+            self.can_host(request, entry.1, split) && entry.1.state.free_tokens >= tokens
         };
         let hosting_cost = |entry: &CostedCandidate<'_, '_>| {
             let opens_engine = split > 1 && entry.1.endpoint.hosted.is_empty();
@@ -399,23 +337,23 @@
         tokens: u64,
     ) -> Option<ChosenEngines<'a, 'b>> {
         let mut by_memory: Vec<CostedCandidate<'a, 'b>> = fitting.to_vec();
-        by_memory.sort_by_key(|entry| std::cmp::Reverse(entry.1.free_tokens));
-        let host_position = by_memory
-            .iter()
-            .position(|entry| self.can_host(request, entry.1, split) && entry.1.tight_runs == 0)?;
+        by_memory.sort_by_key(|entry| std::cmp::Reverse(entry.1.state.free_tokens));
+        let host_position = by_memory.iter().position(|entry| {
+            self.can_host(request, entry.1, split) && entry.1.state.tight_runs == 0
+        })?;
         let host = by_memory.remove(host_position);
         let mut remaining_tokens = tokens + ROUNDING_TOKENS;
-        let host_tokens = remaining_tokens.min(host.1.free_tokens);
+        let host_tokens = remaining_tokens.min(host.1.state.free_tokens);
         remaining_tokens -= host_tokens;
         let mut helpers: Vec<(CostedCandidate<'a, 'b>, u64)> = Vec::new();
         for entry in by_memory {
             if remaining_tokens == 0 || helpers.len() == split - 1 {
                 break;
             }
-            if !self.can_help(entry.1) || entry.1.free_tokens <= ROUNDING_TOKENS {
+            if !self.can_help(entry.1) || entry.1.state.free_tokens <= ROUNDING_TOKENS {
                 continue;
             }
-            let reserved = (remaining_tokens + ROUNDING_TOKENS).min(entry.1.free_tokens);
+            let reserved = (remaining_tokens + ROUNDING_TOKENS).min(entry.1.state.free_tokens);
             remaining_tokens = remaining_tokens.saturating_sub(reserved - ROUNDING_TOKENS);
             helpers.push((entry, reserved));
         }
@@ -451,20 +389,20 @@
     fn penalty_ms(&self, request: &PlacementRequest, candidate: &PlacementCandidate<'_>) -> f64 {
         let limits = self.limits;
         if request.pause_aim > limits.tight_pause {
-            return if candidate.tight_runs > 0 {
+            return if candidate.state.tight_runs > 0 {
                 limits.beside_ms
             } else {
                 0.0
             };
         }
-        if candidate.tight_runs == 0 {
+        if candidate.state.tight_runs == 0 {
             return limits.open_ms;
         }
-        if candidate.tight_runs < limits.packed_writers {
-            let vacant = usize_to_f64(limits.packed_writers - candidate.tight_runs);
+        if candidate.state.tight_runs < limits.packed_writers {
+            let vacant = usize_to_f64(limits.packed_writers - candidate.state.tight_runs);
             return limits.gather_ms * vacant / usize_to_f64(limits.packed_writers);
         }
-        let excess = (candidate.tight_runs + 1).saturating_sub(limits.packed_writers);
+        let excess = (candidate.state.tight_runs + 1).saturating_sub(limits.packed_writers);
         usize_to_f64(excess) * limits.open_ms / 4.0
     }
 }
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -11,11 +11,12 @@
     EndpointInfo, InFlightRun, PlacementDecision, PlacementRequest, RunKey, RunReport,
 };
 use policy::dispatch::{DispatchLimits, Dispatcher};
-use policy::ids::{EndpointId, PoolId};
+use policy::ids::{EndpointId, Millis, PoolId};
 use policy::outcome::{Refusal, RefusalReason};
 use policy::poison::Fingerprint;
 use policy::rate_limit::{PermitDecision, RateNotice};
 use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
 
 use crate::clock::BootClock;
 
@@ -91,7 +92,7 @@
         loop {
             if self.dispatcher.borrow().has_queued() {
                 tokio::time::sleep(DISPATCH_PERIOD).await;
-                self.dispatch();
+                self.run_due_round();
             } else {
                 self.wakeup.notified().await;
             }
@@ -215,8 +216,28 @@
         self.dispatcher.borrow().counts()
     }
 
+    /// Runs a round over all queued requests if one is due.
+    fn run_due_round(&self) {
+        let now = self.clock.now();
+        if self.dispatcher.borrow().is_round_due(now) {
+            self.run_round(Dispatcher::decide);
+        }
+    }
+
+    /// Decides after a change of the queue, the runs or the endpoints.
     fn dispatch(&self) {
-        let decisions = self.dispatcher.borrow_mut().decide(self.clock.now());
+        self.run_round(Dispatcher::decide_after_change);
+    }
+
+    fn run_round(&self, decide: impl FnOnce(&mut Dispatcher, Millis) -> DecisionList) {
+        let started_at = Instant::now();
+        let decisions = {
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            let decisions = decide(&mut dispatcher, self.clock.now());
+            let elapsed_ms = started_at.elapsed().as_secs_f64() * 1_000.0;
+            dispatcher.round_took(elapsed_ms, self.clock.now());
+            decisions
+        };
         for (key, decision) in decisions {
             let sender = self.pending.borrow_mut().remove(&key);
             if let Some(sender) = sender {
@@ -227,6 +248,9 @@
     }
 }
 
+/// Decisions of one round.
+type DecisionList = Vec<(RunKey, PlacementDecision)>;
+
 /// Placement client that uses the local dispatcher only.
 pub struct LocalPlacementClient {
     driver: Rc<DispatcherDriver>,
