--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -259,10 +259,11 @@
     /// Work done so far, over all pools.
     #[must_use]
     pub fn work(&self) -> DispatchWork {
-        let pools = self.pools.values();
-        DispatchWork {
-            searches: pools.map(|pool| pool.work.searches).sum(),
-        }
+        let add = |sum: DispatchWork, pool: &PoolDispatcher| DispatchWork {
+            searches: sum.searches + pool.work.searches,
+            considered: sum.considered + pool.work.considered,
+        };
+        self.pools.values().fold(DispatchWork::default(), add)
     }
 
     fn forget_refused(&mut self, decisions: &[(RunKey, PlacementDecision)]) {
--- a/crates/policy/src/dispatch/pool_dispatcher.rs
+++ b/crates/policy/src/dispatch/pool_dispatcher.rs
@@ -86,6 +86,8 @@
 pub struct DispatchWork {
     /// Searches for a placement.
     pub searches: u64,
+    /// Decisions on a queued request, with or without a search.
+    pub considered: u64,
 }
 
 impl PoolDispatcher {
@@ -339,6 +341,7 @@
         round: &mut RoundState,
     ) -> Option<PlacementDecision> {
         let now = round.now();
+        self.work.considered += 1;
         let usable_endpoints = round.usable(&self.endpoints, &queued.request);
         let usable = usable_endpoints.len();
         let endpoints = usable_endpoints
@@ -356,7 +359,8 @@
             return Some(PlacementDecision::Refused(refusal));
         }
         let ideal_ms = self.ideal_ms(queued, engines);
-        if ahead.count < limits.tries_per_round {
+        let can_be_accepted = queued.can_be_accepted(limits, engines, now);
+        if ahead.count < limits.tries_per_round && can_be_accepted {
             let plan = self.search(queued, limits, rates, round, &usable_endpoints);
             let contention = ahead.contention();
             let accepted = plan.filter(|plan| {
--- a/crates/policy/src/dispatch/queued_request.rs
+++ b/crates/policy/src/dispatch/queued_request.rs
@@ -9,7 +9,7 @@
 
 use super::limits::DispatchLimits;
 use super::placement::{PlacementRequest, RunKey};
-use crate::cast::{f64_to_u64, u64_to_f64};
+use crate::cast::{f64_to_u64, u64_to_f64, usize_to_f64};
 use crate::ids::Millis;
 use crate::outcome::{Refusal, RefusalReason};
 
@@ -17,6 +17,9 @@
 /// one.
 const RETRY_AFTER_DIVISOR: Millis = 3;
 
+/// Least time of work on an engine as a share of the published cost.
+const FASTEST_ENGINE: f64 = 0.9;
+
 /// A request that has not been placed yet.
 #[derive(Debug, Clone)]
 pub(super) struct QueuedRequest {
@@ -92,6 +95,26 @@
         self.prefill_ms / (1.0 + limits.aging_weight * targets_waited)
     }
 
+    /// Whether any placement on `engines` engines could be accepted, as far as the prefill time alone
+    /// tells: a search for one that comes too late is spared.
+    pub(super) fn can_be_accepted(
+        &self,
+        limits: &DispatchLimits,
+        engines: usize,
+        now: Millis,
+    ) -> bool {
+        let least_ms = self.prefill_ms * FASTEST_ENGINE / usize_to_f64(engines.max(1));
+        match self.class(limits, now) {
+            QueueClass::Short | QueueClass::LateShort => true,
+            QueueClass::OnTime => {
+                let target = self.request.first_event_aim;
+                let time_left = u64_to_f64(target.saturating_sub(self.waited(now)));
+                least_ms <= time_left * limits.accept_share
+            }
+            QueueClass::Late => least_ms <= u64_to_f64(self.time_left(now)),
+        }
+    }
+
     /// Whether to accept a placement whose first event is expected in `first_event_ms`.
     ///
     /// `ideal_ms` is the time until the first event when as many idle engines as possible share the
