Hold back everything that is sent to an evacuated failure domain

Cause: two deployments ask that nothing more be sent to a failure domain from 5 s after its operator has written so, by any way and whoever decides, until the operator withdraws it. Leaving endpoints could not stand in for that: they are not used again in the same start, and what fails there counts against them.

Change: the view of the endpoints keeps the evacuated domains, and the gate asks for them before each send. The dispatcher and the balancer get such endpoints as not ready, in their place and with their health. Grants of a dispatcher that does not know are not used, and all evacuated engines are excluded from the next try. Waits for memory and connections end with the same question. Renewals and releases of memory go on, through tunnels too. Probes leave such endpoints out. Failures there eject nothing and are no crashes.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -28,5 +28,5 @@
 pub use steward_link::StewardLink;
 pub use steward_server::{StewardHandler, serve_instance};
 pub use tunnel_link::{TunnelError, TunnelStream, open_tunnel, report_to_host};
-pub use tunnel_message::{HostReport, TunnelRefusal};
+pub use tunnel_message::{HostReport, TunnelPurpose, TunnelRefusal};
 pub use tunnel_server::{TunnelGuard, TunnelHandler, TunnelTarget, serve_tunnels};
--- a/crates/peer/src/tunnel_link.rs
+++ b/crates/peer/src/tunnel_link.rs
@@ -17,8 +17,8 @@
 use tokio_util::io::{CopyToBytes, SinkWriter, StreamReader};
 
 use crate::tunnel_message::{
-    HostReport, MAX_FRAME_BYTES, TunnelAnswer, TunnelCall, TunnelRefusal, TunnelRequest,
-    broken_off, frame_codec,
+    HostReport, MAX_FRAME_BYTES, TunnelAnswer, TunnelCall, TunnelPurpose, TunnelRefusal,
+    TunnelRequest, broken_off, frame_codec,
 };
 
 type TunnelFrames = Framed<TcpStream, LengthDelimitedCodec>;
@@ -64,7 +64,7 @@
     Unanswered,
 }
 
-/// Asks the instance at `address` for a tunnel to `endpoint`.
+/// Asks the instance at `address` for a tunnel to `endpoint` for `purpose`.
 ///
 /// # Errors
 ///
@@ -72,9 +72,10 @@
 pub async fn open_tunnel(
     address: SocketAddr,
     endpoint: &EndpointId,
+    purpose: TunnelPurpose,
     time_limit: Duration,
 ) -> Result<TunnelStream, TunnelError> {
-    let opened = timeout(time_limit, request_tunnel(address, endpoint)).await;
+    let opened = timeout(time_limit, request_tunnel(address, endpoint, purpose)).await;
     let answered = opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
     let (frames, answer) = answered.map_err(|_| TunnelError::Unanswered)?;
     Result::from(answer).map_err(TunnelError::Refused)?;
@@ -116,8 +117,9 @@
 async fn request_tunnel(
     address: SocketAddr,
     endpoint: &EndpointId,
+    purpose: TunnelPurpose,
 ) -> io::Result<(TunnelFrames, TunnelAnswer)> {
-    let mut frames = send_call(address, TunnelCall::Open(endpoint.clone())).await?;
+    let mut frames = send_call(address, TunnelCall::Open(endpoint.clone(), purpose)).await?;
     let answer = frames.next().await.ok_or_else(broken_off)??;
     Ok((frames, serde_json::from_slice(&answer)?))
 }
--- a/crates/peer/src/tunnel_message.rs
+++ b/crates/peer/src/tunnel_message.rs
@@ -27,6 +27,16 @@
     Unavailable,
 }
 
+/// What a tunnel is opened for.
+#[derives::tag]
+pub enum TunnelPurpose {
+    /// A request, which the host holds back if it may send none to the endpoint.
+    Request,
+    /// An order for memory of a run that the endpoint has accepted. An evacuation does not hold it
+    /// back.
+    MemoryOrder,
+}
+
 /// First message to the instance that is asked for a tunnel.
 #[derives::wire]
 pub(crate) struct TunnelRequest {
@@ -42,6 +52,9 @@
     /// Whether the sender reads [`TunnelAnswer::EndpointLeaving`].
     #[serde(default)]
     pub(crate) reads_leaving: bool,
+    /// Whether the tunnel is for an order for memory of a run that the endpoint has accepted.
+    #[serde(default)]
+    memory_order: bool,
 }
 
 /// Time for which a host of a version that does not know that endpoints leave sends nothing to one, in
@@ -60,15 +73,16 @@
 /// First message to an instance on its port for tunnels.
 pub(crate) enum TunnelCall {
     /// Opens a tunnel to the endpoint.
-    Open(EndpointId),
+    Open(EndpointId, TunnelPurpose),
     /// Reports what an endpoint has said.
     Report(HostReport),
 }
 
 impl From<TunnelCall> for TunnelRequest {
     fn from(call: TunnelCall) -> Self {
+        let memory_order = matches!(call, TunnelCall::Open(_, TunnelPurpose::MemoryOrder));
         let (endpoint, retry_after, leaving) = match call {
-            TunnelCall::Open(endpoint) => (endpoint, None, false),
+            TunnelCall::Open(endpoint, _) => (endpoint, None, false),
             TunnelCall::Report(HostReport::Refused(endpoint, retry_after)) => {
                 (endpoint, Some(retry_after), false)
             }
@@ -81,6 +95,7 @@
             retry_after,
             leaving,
             reads_leaving: true,
+            memory_order,
         }
     }
 }
@@ -89,7 +104,8 @@
     fn from(request: TunnelRequest) -> Self {
         let endpoint = EndpointId::new(request.endpoint);
         match request.retry_after {
-            None => Self::Open(endpoint),
+            None if request.memory_order => Self::Open(endpoint, TunnelPurpose::MemoryOrder),
+            None => Self::Open(endpoint, TunnelPurpose::Request),
             Some(_) if request.leaving => Self::Report(HostReport::Leaving(endpoint)),
             Some(retry_after) => Self::Report(HostReport::Refused(endpoint, retry_after)),
         }
--- a/crates/peer/src/tunnel_server.rs
+++ b/crates/peer/src/tunnel_server.rs
@@ -15,7 +15,8 @@
 
 use crate::accept::accept;
 use crate::tunnel_message::{
-    HostReport, TunnelAnswer, TunnelCall, TunnelRefusal, TunnelRequest, broken_off, frame_codec,
+    HostReport, TunnelAnswer, TunnelCall, TunnelPurpose, TunnelRefusal, TunnelRequest, broken_off,
+    frame_codec,
 };
 
 /// Largest number of bytes in a frame.
@@ -41,6 +42,7 @@
     fn connect(
         &self,
         endpoint: EndpointId,
+        purpose: TunnelPurpose,
     ) -> LocalBoxFuture<'_, Result<TunnelTarget, TunnelRefusal>>;
 
     /// Records what an endpoint has said in an answer that came through a tunnel of this instance.
@@ -68,14 +70,14 @@
     let first = timeout(REQUEST_TIMEOUT, frames.next()).await?;
     let request: TunnelRequest = serde_json::from_slice(&first.ok_or_else(broken_off)??)?;
     let reads_leaving = request.reads_leaving;
-    let endpoint = match TunnelCall::from(request) {
-        TunnelCall::Open(endpoint) => endpoint,
+    let (endpoint, purpose) = match TunnelCall::from(request) {
+        TunnelCall::Open(endpoint, purpose) => (endpoint, purpose),
         TunnelCall::Report(report) => {
             handler.told(report);
             return Ok(());
         }
     };
-    let connected = handler.connect(endpoint).await;
+    let connected = handler.connect(endpoint, purpose).await;
     let result = connected.as_ref().map(|_| ()).map_err(|refusal| *refusal);
     let mut answer = TunnelAnswer::from(result);
     if !reads_leaving {
--- a/crates/peer/tests/tunnel_messages.rs
+++ b/crates/peer/tests/tunnel_messages.rs
@@ -9,8 +9,8 @@
 use futures::future::LocalBoxFuture;
 use futures::{FutureExt, SinkExt, StreamExt};
 use jackdawpoint_peer::{
-    HostReport, TunnelGuard, TunnelHandler, TunnelRefusal, TunnelTarget, open_tunnel,
-    report_to_host, serve_tunnels,
+    HostReport, TunnelGuard, TunnelHandler, TunnelPurpose, TunnelRefusal, TunnelTarget,
+    open_tunnel, report_to_host, serve_tunnels,
 };
 use policy::ids::EndpointId;
 use serde::Deserialize;
@@ -26,13 +26,16 @@
 #[derive(Default)]
 struct LeavingHost {
     reports: RefCell<Vec<HostReport>>,
+    purposes: RefCell<Vec<TunnelPurpose>>,
 }
 
 impl TunnelHandler for LeavingHost {
     fn connect(
         &self,
         _endpoint: EndpointId,
+        purpose: TunnelPurpose,
     ) -> LocalBoxFuture<'_, Result<TunnelTarget, TunnelRefusal>> {
+        self.purposes.borrow_mut().push(purpose);
         async { Err(TunnelRefusal::EndpointLeaving) }.boxed_local()
     }
 
@@ -69,7 +72,9 @@
         message: &'static str,
         answer: Option<&'static str>,
         report: Option<HostReport>,
+        purpose: Option<TunnelPurpose>,
     }
+    use TunnelPurpose::{MemoryOrder, Request};
     let endpoint = || EndpointId::new("a");
     let cases = [
         Case {
@@ -77,24 +82,35 @@
             message: r#"{"endpoint":"a"}"#,
             answer: Some(r#""endpoint_held""#),
             report: None,
+            purpose: Some(Request),
         },
         Case {
             name: "request of a version that knows it",
             message: r#"{"endpoint":"a","reads_leaving":true,"member_of_a_later_version":1}"#,
             answer: Some(r#""endpoint_leaving""#),
             report: None,
+            purpose: Some(Request),
+        },
+        Case {
+            name: "order for memory",
+            message: r#"{"endpoint":"a","reads_leaving":true,"memory_order":true}"#,
+            answer: Some(r#""endpoint_leaving""#),
+            report: None,
+            purpose: Some(MemoryOrder),
         },
         Case {
             name: "refusal",
             message: r#"{"endpoint":"a","retry_after":700}"#,
             answer: None,
             report: Some(HostReport::Refused(endpoint(), 700)),
+            purpose: None,
         },
         Case {
             name: "leaving",
             message: r#"{"endpoint":"a","retry_after":5000,"leaving":true}"#,
             answer: None,
             report: Some(HostReport::Leaving(endpoint())),
+            purpose: None,
         },
     ];
     let checks = async {
@@ -106,6 +122,8 @@
             assert_eq!(answer.as_deref(), case.answer, "{}", case.name);
             let reports = host.reports.borrow();
             assert_eq!(reports.first(), case.report.as_ref(), "{}", case.name);
+            let purposes = host.purposes.borrow();
+            assert_eq!(purposes.first(), case.purpose.as_ref(), "{}", case.name);
             serving.abort();
         }
     };
@@ -147,6 +165,7 @@
     fn connect(
         &self,
         _endpoint: EndpointId,
+        _purpose: TunnelPurpose,
     ) -> LocalBoxFuture<'_, Result<TunnelTarget, TunnelRefusal>> {
         async {
             let stream = TcpStream::connect(self.endpoint).await;
@@ -176,7 +195,13 @@
         });
         tokio::task::spawn_local(serve_tunnels(listener, host));
         let limit = Duration::from_secs(2);
-        let tunnel = open_tunnel(address, &EndpointId::new("a"), limit).await;
+        let tunnel = open_tunnel(
+            address,
+            &EndpointId::new("a"),
+            TunnelPurpose::Request,
+            limit,
+        )
+        .await;
         let mut tunnel = tunnel.expect("the host opens the tunnel");
         let (mut accepted, _) = endpoint.accept().await.expect("a connection");
         let request: Vec<u8> = (0..=250).cycle().take(LARGE_REQUEST).collect();
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -92,6 +92,8 @@
         entry.calls_in_flight = entry.calls_in_flight.saturating_sub(1);
         match outcome {
             RunOutcome::Served => entry.health.succeeded(),
+            // Its machine may be stopped on purpose.
+            _ if entry.info.state == EndpointState::Evacuated => {}
             RunOutcome::NotConnected | RunOutcome::Silent => {
                 entry.health.failed(FailureKind::Unresponsive, now);
             }
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -159,13 +159,14 @@
         }
     }
 
-    /// Records a crash against a prompt whose run broke off before its first event; a prompt that
-    /// was served is no longer suspect.
+    /// Records a crash against a prompt whose run broke off before its first event, unless the host
+    /// is evacuated; a prompt that was served is no longer suspect.
     fn record_crash(&mut self, run: &EndedRun, outcome: RunOutcome, now: Millis) {
         if outcome == RunOutcome::Served {
             self.poison.finished(run.fingerprint, now);
         }
-        if outcome == RunOutcome::Broken && run.phase == RunPhase::Prefill {
+        let is_crash = outcome == RunOutcome::Broken && run.phase == RunPhase::Prefill;
+        if is_crash && !run.is_host_evacuated {
             let report = CrashReport {
                 fingerprint: run.fingerprint,
                 endpoint: run.host.clone(),
--- a/crates/policy/src/dispatch/endpoint.rs
+++ b/crates/policy/src/dispatch/endpoint.rs
@@ -65,6 +65,17 @@
         self.info.state == EndpointState::Ready
     }
 
+    /// Whether the endpoint's failure domain is evacuated.
+    pub(super) fn is_evacuated(&self) -> bool {
+        self.info.state == EndpointState::Evacuated
+    }
+
+    /// Whether another endpoint may take this one's place: it leaves and has no runs. An evacuated
+    /// endpoint keeps its place, because its health is needed after the withdrawal.
+    pub(super) fn is_replaceable(&self) -> bool {
+        self.is_idle() && self.info.state == EndpointState::Leaving
+    }
+
     pub(super) fn memory_used(&self) -> u64 {
         let hosted: u64 = self.hosted.iter().map(|run| run.memory_tokens).sum();
         let helped: u64 = self.helped.iter().map(|run| run.reserved_tokens).sum();
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -164,6 +164,10 @@
     Ready,
     /// The endpoint drains: it accepts no new runs and finishes those in flight.
     Leaving,
+    /// The operator has evacuated the endpoint's failure domain: it gets no new runs until the
+    /// evacuation is withdrawn, and finishes those in flight. Its failures meanwhile say nothing
+    /// about it, since its machine may be stopped on purpose.
+    Evacuated,
 }
 
 /// An endpoint as the platform describes it.
--- a/crates/policy/src/dispatch/pool_dispatcher.rs
+++ b/crates/policy/src/dispatch/pool_dispatcher.rs
@@ -64,6 +64,8 @@
 pub(super) struct EndedRun {
     pub(super) fingerprint: Fingerprint,
     pub(super) host: EndpointId,
+    /// Whether the host's failure domain is evacuated.
+    pub(super) is_host_evacuated: bool,
     pub(super) phase: RunPhase,
 }
 
@@ -95,8 +97,7 @@
             return;
         }
         let added = EndpointLoad::new(info.clone());
-        let is_reusable = |endpoint: &EndpointLoad| endpoint.is_idle() && !endpoint.is_ready();
-        match self.endpoints.iter().position(is_reusable) {
+        match self.endpoints.iter().position(EndpointLoad::is_replaceable) {
             Some(index) => self.endpoints[index] = added,
             None => self.endpoints.push(added),
         }
@@ -148,12 +149,13 @@
         host.map(|host| EndedRun {
             fingerprint: run.fingerprint,
             host: host.info.target.endpoint.clone(),
+            is_host_evacuated: host.is_evacuated(),
             phase: run.phase,
         })
     }
 
     /// Updates the health of the run's engines: a failure counts against the endpoint at fault, or
-    /// else the host.
+    /// else the host, unless that is evacuated.
     fn record_outcome(&mut self, run: &PlacedRun, report: &RunReport, now: Millis) {
         let kind = match report.outcome {
             RunOutcome::CallerLeft | RunOutcome::NoPath => return,
@@ -177,6 +179,9 @@
         let Some(index) = at_fault.or(run.engines.first()) else {
             return;
         };
+        if self.endpoints[*index].is_evacuated() {
+            return;
+        }
         self.endpoints[*index].health.failed(kind, now);
         if report.outcome == RunOutcome::NotConnected {
             self.record_unreachable(*index, now);
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -23,9 +23,9 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use ntex::http::StatusCode;
-use peer::HostReport;
+use peer::{HostReport, TunnelPurpose};
 use policy::catalog::RepeatRule;
-use policy::dispatch::placement::{EndpointTarget, RunOutcome};
+use policy::dispatch::placement::{EndpointTarget, HelperGrant, RunOutcome};
 use policy::ids::EndpointId;
 use policy::outcome::RetryReason;
 use tokio::task::AbortHandle;
@@ -66,6 +66,8 @@
 pub struct ForwardRequest<'a> {
     /// The endpoint and its address.
     pub target: &'a EndpointTarget,
+    /// Engines to which the endpoint sends parts of the request.
+    pub helpers: &'a [HelperGrant],
     /// HTTP method.
     pub method: &'a str,
     /// Path and query as sent by the caller.
@@ -347,7 +349,11 @@
                 }
             }
         }
-        let guard = self.connect(call.target).await?;
+        let connected = self.connect(&call).await;
+        if connected.is_err() && call.gate == GateRule::Observed {
+            self.check_evacuated(&call)?;
+        }
+        let guard = connected?;
         // Another answer may have closed the gate while this request waited for its connection.
         self.check_gate(&call)?;
         let answered = exchange(guard, request).await;
@@ -359,17 +365,29 @@
         if call.gate == GateRule::Ignored {
             return Ok(());
         }
-        let Some(refusal) = self.gate.refusal(endpoint) else {
+        let is_evacuated = |helper: &HelperGrant| self.gate.is_evacuated(&helper.target.endpoint);
+        let helper = call.helpers.iter().find(|helper| is_evacuated(helper));
+        let closed = helper.map_or(endpoint, |helper| &helper.target.endpoint);
+        let Some(refusal) = self.gate.refusal(closed) else {
             return Ok(());
         };
         spdlog::info!("request held back", kv: {
-            endpoint = endpoint.as_str(),
+            endpoint = closed.as_str(),
             path = call.path_and_query,
             cause:? = refusal,
         });
         Err(SendError::Closed(refusal))
     }
 
+    /// The failure of a connection to an endpoint that has been evacuated meanwhile says nothing about
+    /// the endpoint.
+    fn check_evacuated(&self, call: &ForwardRequest<'_>) -> Result<(), SendError> {
+        if self.gate.is_evacuated(&call.target.endpoint) {
+            return self.check_gate(call);
+        }
+        Ok(())
+    }
+
     fn take_idle(&self, call: &ForwardRequest<'_>) -> Option<ConnectionGuard> {
         let target = call.target;
         let address = target.address;
@@ -453,8 +471,13 @@
         }
     }
 
-    async fn connect(&self, target: &EndpointTarget) -> Result<ConnectionGuard, SendError> {
-        let opened = self.connector.connect(target).await;
+    async fn connect(&self, call: &ForwardRequest<'_>) -> Result<ConnectionGuard, SendError> {
+        let target = call.target;
+        let purpose = match call.gate {
+            GateRule::Observed => TunnelPurpose::Request,
+            GateRule::Ignored => TunnelPurpose::MemoryOrder,
+        };
+        let opened = self.connector.connect(target, purpose).await;
         let OpenConnection { stream, tunnel } = opened.map_err(|error| match error {
             ConnectError::EndpointLost => SendError::Exchange(ExchangeError::NotSent),
             ConnectError::EndpointLeaving => {
--- a/crates/relay/src/core/crashes.rs
+++ b/crates/relay/src/core/crashes.rs
@@ -104,9 +104,9 @@
 
     /// Records that the incarnation `endpoint` of an endpoint is found to be gone: nobody reaches it,
     /// or another incarnation answers at its address. Runs that fell silent on it are attributed to
-    /// the loss before its entry expires, unless it was known to be leaving.
+    /// the loss before its entry expires, unless it was known to be leaving or is evacuated.
     pub(crate) fn endpoint_gone(&self, endpoint: &EndpointId) {
-        if !self.is_departed(endpoint) {
+        if !self.is_departed(endpoint) && !self.is_evacuated(endpoint) {
             self.attribute_loss(|lost| lost == endpoint, self.now());
         }
     }
@@ -127,7 +127,8 @@
 
     /// Records a run that was sent and ended without a whole answer. The logged fingerprint connects
     /// the runs of one request across attempts and instances. A run that had written is no evidence
-    /// against its request: what it crashes, it crashes at the beginning.
+    /// against its request: what it crashes, it crashes at the beginning. Nor is one on an evacuated
+    /// endpoint, whose machine may be stopped on purpose.
     pub(crate) fn run_failed(
         &self,
         request: &RelayRequest,
@@ -146,8 +147,9 @@
         let is_lost = self.gate().view().borrow().is_lost(endpoint);
         let parts = &request.head.shared_parts;
         let has_written = progress.has_written(now);
+        let is_evacuated = self.is_evacuated(endpoint);
         match outcome {
-            _ if has_written => {}
+            _ if has_written || is_evacuated => {}
             RunOutcome::Broken if reason == RetryReason::StreamClosed => {
                 crashes.run_broke(fingerprints, endpoint, parts, now);
             }
@@ -165,6 +167,7 @@
             reason = reason.code(),
             events = request.trace.events.get(),
             had_written = has_written,
+            is_evacuated = is_evacuated,
             parts = parts_text(&request.head.shared_parts).as_str(),
             crashes = crashes.crashes(fingerprint, now).0,
             steward_losses = self.placement().steward_losses(),
--- a/crates/relay/src/core/endpoints.rs
+++ b/crates/relay/src/core/endpoints.rs
@@ -1,8 +1,10 @@
 //! The endpoints that this instance may use, and what they say of themselves in answers.
 
+use std::collections::BTreeSet;
+
 use policy::balance::CallBalancer;
 use policy::dispatch::placement::{EndpointState, EndpointTarget, PlacementGrant};
-use policy::ids::{EndpointId, Millis, PoolId};
+use policy::ids::{DomainId, EndpointId, Millis, PoolId};
 use policy::rate_limit::{RateNotice, RequestRate};
 use rand::seq::IteratorRandom;
 
@@ -45,9 +47,13 @@
         };
         let endpoint_view = self.gate().view().borrow();
         let connector = self.connections().connector();
-        connector.set_endpoints(endpoint_view.len(), |endpoint| {
-            endpoint_view.target(endpoint).is_some()
-        });
+        // Nothing is connected to evacuated endpoints, so they show nothing of this instance's paths.
+        let is_contacted = |endpoint: &EndpointId| {
+            endpoint_view.target(endpoint).is_some() && !endpoint_view.is_evacuated(endpoint)
+        };
+        let targets = endpoint_view.targets();
+        let contacted = targets.filter(|target| is_contacted(&target.endpoint));
+        connector.set_endpoints(contacted.count(), is_contacted);
         let count = i64::try_from(endpoint_view.len()).unwrap_or(i64::MAX);
         self.counters.endpoints.set(count);
         for service in catalog.services() {
@@ -77,13 +83,13 @@
         self.gate().view().borrow().target(endpoint)
     }
 
-    /// Up to `count` known endpoints other than `endpoint`, chosen at random.
+    /// Up to `count` known endpoints other than `endpoint` that are not evacuated, chosen at random.
     pub(crate) fn other_targets(&self, endpoint: &EndpointId, count: usize) -> Vec<EndpointTarget> {
         let endpoint_view = self.gate().view().borrow();
         let mut random = self.random.borrow_mut();
-        let others = endpoint_view
-            .targets()
-            .filter(|other| other.endpoint != *endpoint);
+        let others = endpoint_view.targets().filter(|other| {
+            other.endpoint != *endpoint && !endpoint_view.is_evacuated(&other.endpoint)
+        });
         others.cloned().choose_multiple(&mut *random, count)
     }
 
@@ -101,7 +107,54 @@
 
     /// Whether the endpoint was removed recently without having been seen leaving.
     pub(crate) fn is_lost(&self, target: &EndpointTarget) -> bool {
-        self.gate().view().borrow().is_lost(&target.endpoint)
+        self.gate().view().borrow().is_gone(&target.endpoint)
+    }
+
+    /// Whether the endpoint's failure domain is evacuated.
+    pub(crate) fn is_evacuated(&self, endpoint: &EndpointId) -> bool {
+        self.gate().is_evacuated(endpoint)
+    }
+
+    /// The endpoints of a pool whose failure domains are evacuated.
+    pub(crate) fn evacuated_endpoints(&self, pool: &PoolId) -> Vec<EndpointId> {
+        let endpoint_view = self.gate().view().borrow();
+        if endpoint_view.evacuated_domains().next().is_none() {
+            return Vec::new();
+        }
+        let listed = endpoint_view.in_pool(pool).into_iter();
+        let evacuated = listed.filter(|info| info.state == EndpointState::Evacuated);
+        evacuated.map(|info| info.target.endpoint).collect()
+    }
+
+    /// Logs the failure domains that were evacuated, and the evacuations that were withdrawn, since
+    /// the last call. Called once a batch of entries has been applied, so that the endpoints are
+    /// counted as they are known after it.
+    pub fn log_evacuations(&self) {
+        let endpoint_view = self.gate().view().borrow();
+        let mut logged = self.logged_evacuations.borrow_mut();
+        let evacuated: BTreeSet<DomainId> = endpoint_view.evacuated_domains().cloned().collect();
+        if *logged == evacuated {
+            return;
+        }
+        for domain in evacuated.difference(&logged) {
+            spdlog::warn!("failure domain evacuated", kv: {
+                domain = domain.as_str(),
+                endpoints = endpoint_view.count_in_domain(domain),
+                known = endpoint_view.len(),
+                evacuated = evacuated.len(),
+                age = self.config_age(),
+            });
+        }
+        for domain in logged.difference(&evacuated) {
+            spdlog::warn!("evacuation withdrawn", kv: {
+                domain = domain.as_str(),
+                endpoints = endpoint_view.count_in_domain(domain),
+                known = endpoint_view.len(),
+                evacuated = evacuated.len(),
+                age = self.config_age(),
+            });
+        }
+        *logged = evacuated;
     }
 
     /// Whether the endpoint is leaving or was removed recently.
--- a/crates/relay/src/core/mod.rs
+++ b/crates/relay/src/core/mod.rs
@@ -6,7 +6,7 @@
 mod stopping;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -102,6 +102,8 @@
     caller_connections: Rc<CallerConnections>,
     /// Limits that endpoints have named in answers to this instance.
     heard_limits: RefCell<RateTable>,
+    /// Evacuated failure domains, as far as they have been logged.
+    logged_evacuations: RefCell<BTreeSet<DomainId>>,
     last_request_number: Cell<u64>,
     notices_added: Notify,
     random: RefCell<SmallRng>,
@@ -122,6 +124,7 @@
             stop: StopState::default(),
             caller_connections: Rc::default(),
             heard_limits: RefCell::new(RateTable::new()),
+            logged_evacuations: RefCell::default(),
             last_request_number: Cell::new(0),
             notices_added: Notify::new(),
             random: RefCell::new(SmallRng::from_os_rng()),
@@ -156,6 +159,11 @@
         let opened_tunnels = i64::try_from(connector.opened_tunnels()).unwrap_or(i64::MAX);
         self.counters.opened_tunnels.set(opened_tunnels);
         self.counters.is_cut_off.set(connector.is_cut_off().into());
+        let evacuated = self.gate().view().borrow().evacuated_domains().count();
+        let evacuated = i64::try_from(evacuated).unwrap_or(i64::MAX);
+        self.counters.evacuated_domains.set(evacuated);
+        let refusals = i64::try_from(self.gate().evacuation_refusals()).unwrap_or(i64::MAX);
+        self.counters.evacuation_refusals.set(refusals);
         self.counters.render()
     }
 
@@ -234,6 +242,7 @@
         loop {
             tokio::time::sleep(MAINTENANCE_PERIOD).await;
             self.update_endpoints(EndpointView::expire);
+            self.log_evacuations();
             self.dependencies.connections.expire();
             self.release_statements();
         }
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -44,6 +44,10 @@
     pub hosted_tunnels: IntCounter,
     /// 1 while this instance is cut off from the endpoints.
     pub is_cut_off: IntGauge,
+    /// Evacuated failure domains.
+    pub evacuated_domains: IntGauge,
+    /// Requests held back because of an evacuation.
+    pub evacuation_refusals: IntGauge,
     /// Log records dropped by the logger.
     pub dropped_records: IntGauge,
 }
@@ -97,6 +101,12 @@
                 "Tunnels opened for others.",
             ),
             is_cut_off: gauge(&registry, "cut_off", "Whether the endpoints are cut off."),
+            evacuated_domains: gauge(&registry, "evacuated_domains", "Evacuated failure domains."),
+            evacuation_refusals: gauge(
+                &registry,
+                "evacuation_held_total",
+                "Requests held back because of an evacuation.",
+            ),
             dropped_records: gauge(&registry, "dropped_log_records", "Log records dropped."),
             registry,
         };
--- a/crates/relay/src/endpoint_connector.rs
+++ b/crates/relay/src/endpoint_connector.rs
@@ -11,7 +11,10 @@
 use futures::StreamExt;
 use futures::future::{Either, join_all, select};
 use futures::stream::FuturesUnordered;
-use peer::{HostReport, TunnelError, TunnelRefusal, TunnelStream, open_tunnel, report_to_host};
+use peer::{
+    HostReport, TunnelError, TunnelPurpose, TunnelRefusal, TunnelStream, open_tunnel,
+    report_to_host,
+};
 use policy::dispatch::placement::EndpointTarget;
 use policy::endpoint_path::{PathChange, PathPlan, PathProbe, PathTable};
 use policy::ids::{DomainId, EndpointId, Millis};
@@ -157,7 +160,7 @@
         self.paths.borrow_mut().retain(is_known);
     }
 
-    /// Opens a connection to an endpoint. Nothing is sent on it.
+    /// Opens a connection to an endpoint for `purpose`. Nothing is sent on it.
     ///
     /// # Errors
     ///
@@ -165,11 +168,12 @@
     pub async fn connect(
         self: &Rc<Self>,
         target: &EndpointTarget,
+        purpose: TunnelPurpose,
     ) -> Result<OpenConnection, ConnectError> {
         let now = self.clock.now();
         let plan = self.paths.borrow_mut().plan(&target.endpoint, now);
         match plan {
-            PathPlan::DirectFirst => self.connect_hedged(target).await,
+            PathPlan::DirectFirst => self.connect_hedged(target, purpose).await,
             PathPlan::DirectOnly => {
                 let opened = self.connect_directly(target, CONNECT_TIMEOUT).await;
                 let stream = opened.map_err(|_| ConnectError::EndpointLost)?;
@@ -179,7 +183,7 @@
                 if probe == PathProbe::Due {
                     self.probe(target);
                 }
-                match self.connect_through_tunnel(target).await {
+                match self.connect_through_tunnel(target, purpose).await {
                     Ok(opened) => Ok(opened),
                     // The direct path may be open again.
                     Err(error) => self.connect_instead(target, error).await,
@@ -202,14 +206,15 @@
     async fn connect_hedged(
         self: &Rc<Self>,
         target: &EndpointTarget,
+        purpose: TunnelPurpose,
     ) -> Result<OpenConnection, ConnectError> {
         let mut direct = pin!(self.connect_directly(target, CONNECT_TIMEOUT));
         match timeout(HEAD_START, &mut direct).await {
             Ok(Ok(stream)) => return Ok(OpenConnection::direct(stream)),
-            Ok(Err(_)) => return self.bypass(target).await,
+            Ok(Err(_)) => return self.bypass(target, purpose).await,
             Err(_) => {}
         }
-        let tunnel = pin!(self.bypass(target));
+        let tunnel = pin!(self.bypass(target, purpose));
         match select(direct, tunnel).await {
             Either::Left((Ok(stream), _)) => Ok(OpenConnection::direct(stream)),
             Either::Left((Err(_), tunnel)) => tunnel.await,
@@ -225,8 +230,9 @@
     async fn bypass(
         self: &Rc<Self>,
         target: &EndpointTarget,
+        purpose: TunnelPurpose,
     ) -> Result<OpenConnection, ConnectError> {
-        let opened = self.connect_through_tunnel(target).await?;
+        let opened = self.connect_through_tunnel(target, purpose).await?;
         let (now, endpoints) = (self.clock.now(), self.endpoints.get());
         let mut paths = self.paths.borrow_mut();
         log_change(paths.bypassed(&target.endpoint, endpoints, now));
@@ -277,6 +283,7 @@
     async fn connect_through_tunnel(
         self: &Rc<Self>,
         target: &EndpointTarget,
+        purpose: TunnelPurpose,
     ) -> Result<OpenConnection, ConnectError> {
         let hosts = self.directory.tunnel_hosts();
         let chosen = self.tunnels.borrow_mut().choose(&hosts, self.clock.now());
@@ -285,7 +292,7 @@
         let mut is_held = false;
         loop {
             if let Some(host) = hosts.next() {
-                requests.push(ask_for_tunnel(host, &target.endpoint));
+                requests.push(ask_for_tunnel(host, &target.endpoint, purpose));
             } else if requests.is_empty() {
                 break;
             }
@@ -357,8 +364,9 @@
 async fn ask_for_tunnel(
     host: TunnelHost,
     endpoint: &EndpointId,
+    purpose: TunnelPurpose,
 ) -> (TunnelHost, Result<TunnelStream, TunnelError>) {
-    let answer = open_tunnel(host.address, endpoint, TUNNEL_TIMEOUT).await;
+    let answer = open_tunnel(host.address, endpoint, purpose, TUNNEL_TIMEOUT).await;
     (host, answer)
 }
 
--- a/crates/relay/src/endpoint_gate.rs
+++ b/crates/relay/src/endpoint_gate.rs
@@ -1,6 +1,6 @@
 //! Whether requests may go to an endpoint now.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 
 use ntex::http::{HeaderMap, StatusCode};
@@ -20,6 +20,8 @@
     Doubted,
     /// The endpoint wants no requests from this instance for a time.
     Held,
+    /// The endpoint's failure domain is evacuated.
+    Evacuated,
 }
 
 /// Learns that endpoints leave.
@@ -45,6 +47,8 @@
     backoffs: EndpointBackoffs,
     view: RefCell<EndpointView>,
     listener: RefCell<Option<Weak<dyn LeavingListener>>>,
+    /// Number of requests that were held back because of an evacuation.
+    evacuation_refusals: Cell<u64>,
 }
 
 impl EndpointGate {
@@ -57,6 +61,7 @@
             backoffs: EndpointBackoffs::new(clock),
             view: RefCell::new(EndpointView::new()),
             listener: RefCell::new(None),
+            evacuation_refusals: Cell::new(0),
         }
     }
 
@@ -75,8 +80,20 @@
         &self.backoffs
     }
 
-    /// Why nothing may be sent to the endpoint now; `None` if requests may go there.
+    /// Why nothing may be sent to the endpoint now; `None` if requests may go there. An evacuation
+    /// comes first: unlike the other reasons it says nothing about the endpoint. A refusal because of
+    /// one counts as a request held back.
     pub(crate) fn refusal(&self, endpoint: &EndpointId) -> Option<GateRefusal> {
+        if self.is_evacuated(endpoint) {
+            self.evacuation_refusals
+                .set(self.evacuation_refusals.get() + 1);
+            return Some(GateRefusal::Evacuated);
+        }
+        self.endpoint_refusal(endpoint)
+    }
+
+    /// Why nothing may be sent to the endpoint now, apart from an evacuation.
+    pub(crate) fn endpoint_refusal(&self, endpoint: &EndpointId) -> Option<GateRefusal> {
         let view = self.view.borrow();
         if view.is_doubted(endpoint) {
             return Some(GateRefusal::Doubted);
@@ -87,6 +104,16 @@
         self.backoffs.holds(endpoint).then_some(GateRefusal::Held)
     }
 
+    /// Whether the endpoint's failure domain is evacuated.
+    pub(crate) fn is_evacuated(&self, endpoint: &EndpointId) -> bool {
+        self.view.borrow().is_evacuated(endpoint)
+    }
+
+    /// Number of requests that were held back because of an evacuation.
+    pub(crate) fn evacuation_refusals(&self) -> u64 {
+        self.evacuation_refusals.get()
+    }
+
     /// Reads the head of an answer of `endpoint`, whichever request it answers.
     pub(crate) fn read_answer(
         &self,
--- a/crates/relay/src/endpoint_view.rs
+++ b/crates/relay/src/endpoint_view.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use policy::dispatch::placement::{EndpointInfo, EndpointState, EndpointTarget};
-use policy::ids::{EndpointId, Millis, PoolId};
+use policy::ids::{DomainId, EndpointId, Millis, PoolId};
 
 /// Time after the store recovers in which an endpoint whose entry is missing may register again, in
 /// milliseconds; the platform documents about two seconds.
@@ -62,20 +62,25 @@
 }
 
 /// Removal of an endpoint.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Departure {
     at: Millis,
     /// Whether the endpoint was seen leaving before.
     is_announced: bool,
+    domain: DomainId,
+    /// Whether its failure domain was evacuated.
+    was_evacuated: bool,
     /// What was known of the endpoint when its entry was removed.
     past: EndpointPast,
 }
 
 impl Departure {
-    fn new(entry: &KnownEndpoint, at: Millis) -> Self {
+    fn new(entry: &KnownEndpoint, was_evacuated: bool, at: Millis) -> Self {
         Self {
             at,
             is_announced: entry.state() == EndpointState::Leaving,
+            domain: entry.info.domain.clone(),
+            was_evacuated,
             past: EndpointPast {
                 is_doubted: true,
                 ..entry.past()
@@ -84,10 +89,11 @@
     }
 }
 
-/// The endpoints of all pools, as listed in the platform's store.
+/// The endpoints of all pools and the evacuated failure domains, as listed in the platform's store.
 ///
 /// Invariant: an endpoint whose entry is missing is used for at most two seconds after the list is
-/// current again. An endpoint that was seen leaving is not used again in the same incarnation.
+/// current again. An endpoint that was seen leaving is not used again in the same incarnation. No
+/// endpoint of an evacuated domain is ready, whenever its entry was read.
 #[derive(Debug, Default)]
 pub struct EndpointView {
     endpoints: BTreeMap<EndpointId, KnownEndpoint>,
@@ -99,6 +105,9 @@
     /// Until when entries may be older than what is known, because the store has come back from a
     /// copy: those that live write again what the copy lacks.
     copied_until: Option<Millis>,
+    /// The evacuated failure domains, with the time at which the evacuation ends because its key is
+    /// missing from the copy that the store has come back from; `None` while the key is listed.
+    evacuations: BTreeMap<DomainId, Option<Millis>>,
 }
 
 /// Whether a change affects placement.
@@ -200,11 +209,72 @@
 
     fn depart(&mut self, endpoint: &EndpointId, now: Millis) {
         if let Some(entry) = self.endpoints.remove(endpoint) {
-            let departure = Departure::new(&entry, now);
+            let was_evacuated = self.evacuations.contains_key(&entry.info.domain);
+            let departure = Departure::new(&entry, was_evacuated, now);
             self.departed.insert(endpoint.clone(), departure);
         }
     }
 
+    /// Evacuates a failure domain: its endpoints, those that appear later included, are not used until
+    /// the withdrawal.
+    pub fn evacuate(&mut self, domain: &DomainId) -> ViewChange {
+        match self.evacuations.insert(domain.clone(), None) {
+            Some(_) => ViewChange::Same,
+            None => ViewChange::Changed,
+        }
+    }
+
+    /// Withdraws the evacuation of a failure domain.
+    pub fn withdraw_evacuation(&mut self, domain: &DomainId) -> ViewChange {
+        match self.evacuations.remove(domain) {
+            Some(_) => ViewChange::Changed,
+            None => ViewChange::Same,
+        }
+    }
+
+    /// Withdraws the evacuations that a complete list of the store's entries lacks. Those that a copy
+    /// lacks hold until the operator can have written them again.
+    pub fn retain_evacuations(&mut self, listed: &[DomainId], now: Millis) -> ViewChange {
+        let before = self.evacuations.len();
+        let copied_until = self.copied_until;
+        self.evacuations.retain(|domain, missing_until| {
+            let is_listed = listed.contains(domain);
+            let held_until = copied_until.max(*missing_until);
+            *missing_until = held_until.filter(|until| !is_listed && now < *until);
+            is_listed || missing_until.is_some()
+        });
+        if self.evacuations.len() == before {
+            ViewChange::Same
+        } else {
+            ViewChange::Changed
+        }
+    }
+
+    /// The evacuated failure domains.
+    pub fn evacuated_domains(&self) -> impl Iterator<Item = &DomainId> {
+        self.evacuations.keys()
+    }
+
+    /// Number of known endpoints in a failure domain.
+    #[must_use]
+    pub fn count_in_domain(&self, domain: &DomainId) -> usize {
+        let entries = self.endpoints.values();
+        entries.filter(|entry| entry.info.domain == *domain).count()
+    }
+
+    /// Whether nothing may be sent to an endpoint because its failure domain is evacuated. An unknown
+    /// endpoint may be in any domain, so it counts as evacuated while any domain is.
+    #[must_use]
+    pub fn is_evacuated(&self, endpoint: &EndpointId) -> bool {
+        if self.evacuations.is_empty() {
+            return false;
+        }
+        let listed = self.endpoints.get(endpoint).map(|entry| &entry.info.domain);
+        let departed = self.departed.get(endpoint).map(|known| &known.domain);
+        let domain = listed.or(departed);
+        domain.is_none_or(|domain| self.evacuations.contains_key(domain))
+    }
+
     /// Known endpoints that are not in `listed`.
     #[must_use]
     pub fn unlisted(&self, listed: &[EndpointId]) -> Vec<EndpointId> {
@@ -225,9 +295,11 @@
         if self.is_store_lost {
             self.is_store_lost = false;
             self.store_recovered_at = Some(now);
-            for entry in self.endpoints.values_mut() {
-                if entry.missing_until.is_some() {
-                    entry.missing_until = Some(now + REJOIN_TIME);
+            let missing = self.endpoints.values_mut();
+            let missing = missing.map(|entry| &mut entry.missing_until);
+            for missing_until in missing.chain(self.evacuations.values_mut()) {
+                if missing_until.is_some() {
+                    *missing_until = Some(now + REJOIN_TIME);
                 }
             }
         }
@@ -242,10 +314,19 @@
         self.copied_until = Some(now + REJOIN_TIME);
     }
 
-    /// Removes endpoints whose entries have not come back in time, and uses those again whose entries
-    /// are no longer in doubt.
+    /// Removes endpoints whose entries have not come back in time, uses those again whose entries
+    /// are no longer in doubt, and withdraws evacuations whose keys have not come back in time. No
+    /// evacuation is withdrawn while the store is away.
     pub fn expire(&mut self, now: Millis) -> ViewChange {
         let mut change = ViewChange::Same;
+        if !self.is_store_lost {
+            let before = self.evacuations.len();
+            self.evacuations
+                .retain(|_, missing_until| missing_until.is_none_or(|until| now < until));
+            if self.evacuations.len() != before {
+                change = ViewChange::Changed;
+            }
+        }
         for entry in self.endpoints.values_mut() {
             if entry.doubted_until.is_some_and(|until| until <= now) {
                 entry.doubted_until = None;
@@ -283,13 +364,22 @@
         })
     }
 
-    /// Whether an endpoint was removed recently without having been seen leaving.
+    /// Whether an endpoint was removed recently without having been seen leaving. What runs on it
+    /// does not go on.
     #[must_use]
-    pub fn is_lost(&self, endpoint: &EndpointId) -> bool {
+    pub fn is_gone(&self, endpoint: &EndpointId) -> bool {
         let departure = self.departed.get(endpoint);
         departure.is_some_and(|departure| !departure.is_announced)
     }
 
+    /// Whether the removal of an endpoint is evidence against what ran on it: it was not seen leaving,
+    /// and its failure domain was not evacuated.
+    #[must_use]
+    pub fn is_lost(&self, endpoint: &EndpointId) -> bool {
+        let departure = self.departed.get(endpoint);
+        departure.is_some_and(|departure| !departure.is_announced && !departure.was_evacuated)
+    }
+
     /// Id and address of an endpoint, if it is known.
     #[must_use]
     pub fn target(&self, endpoint: &EndpointId) -> Option<EndpointTarget> {
@@ -308,7 +398,11 @@
         let is_in_pool = |entry: &&KnownEndpoint| entry.pool == *pool;
         let entries = self.endpoints.values().filter(is_in_pool);
         let info = |entry: &KnownEndpoint| EndpointInfo {
-            state: entry.state(),
+            state: if self.evacuations.contains_key(&entry.info.domain) {
+                EndpointState::Evacuated
+            } else {
+                entry.state()
+            },
             ..entry.info.clone()
         };
         entries.map(info).collect()
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -276,6 +276,7 @@
     };
     let call = ForwardRequest {
         target: &guard.target,
+        helpers: &[],
         method: request.method.as_str(),
         path_and_query: &request.path_and_query,
         headers: request.forward_headers(core.dialect(), &head),
--- a/crates/relay/src/stream/host_watch.rs
+++ b/crates/relay/src/stream/host_watch.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures::future::{Either, select};
+use peer::TunnelPurpose;
 use policy::dispatch::placement::EndpointTarget;
 use tokio::time::{Instant, timeout};
 
@@ -60,8 +61,13 @@
     }
 }
 
-/// Whether the host accepts a connection, or may do so on a path that this instance does not have.
+/// Whether the host accepts a connection, or may do so on a path that this instance does not have. An
+/// evacuated host is not probed; if it is lost, its entry is removed.
 async fn is_reached(core: &RelayCore, host: &EndpointTarget) -> bool {
-    let opened = core.connections().connector().connect(host).await;
+    if core.is_evacuated(&host.endpoint) {
+        return true;
+    }
+    let connector = core.connections().connector();
+    let opened = connector.connect(host, TunnelPurpose::Request).await;
     !matches!(opened, Err(ConnectError::EndpointLost))
 }
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -148,11 +148,13 @@
             if let Some((closed, refusal)) = self.closed_engine(&grant) {
                 let outcome = match refusal {
                     GateRefusal::Departed => RunOutcome::NotConnected,
-                    GateRefusal::Held | GateRefusal::Doubted => RunOutcome::NoPath,
+                    GateRefusal::Held | GateRefusal::Doubted | GateRefusal::Evacuated => {
+                        RunOutcome::NoPath
+                    }
                 };
                 let report = RunReport::new(outcome);
                 guard.report(report.with_fault_at(Some(closed.address)));
-                self.excluded.push(closed.endpoint.clone());
+                self.exclude_closed(&closed.endpoint, refusal);
                 self.tries += 1;
                 if self.tries >= MAX_TRIES {
                     return Err(self.final_failure(&RunReport::new(outcome)));
@@ -233,6 +235,8 @@
         if let Some(endpoint) = self.request.trace.endpoints.borrow().last() {
             self.excluded.push(endpoint.clone());
         }
+        // There is only one try, which a dispatcher that does not know of an evacuation would waste.
+        self.exclude_evacuated();
         self.record_retry(RetryReason::StreamSilent);
         let requested = tokio::time::timeout(REPLACEMENT_TIMEOUT, self.request_placement()).await;
         let Ok(Ok((guard, grant))) = requested else {
@@ -327,6 +331,9 @@
         if error.report.at_fault.is_none() {
             self.excluded.push(grant.host.endpoint.clone());
         }
+        if self.evacuated_engine(grant).is_some() {
+            self.exclude_evacuated();
+        }
         if error.delivery == RequestDelivery::Undelivered {
             self.core.log_retry(&self.request, error.reason);
         } else {
--- a/crates/relay/src/stream/placing.rs
+++ b/crates/relay/src/stream/placing.rs
@@ -5,7 +5,7 @@
 use policy::dispatch::placement::{
     EndpointTarget, PlacementDecision, PlacementGrant, PlacementRequest, PlacementScope,
 };
-use policy::ids::{AccountId, Millis};
+use policy::ids::{AccountId, EndpointId, Millis};
 use policy::outcome::{Refusal, RefusalReason, UnfinishedReason};
 
 use super::run_guard::RunGuard;
@@ -31,6 +31,43 @@
         engines.find_map(|target| Some((target, self.core.gate().refusal(&target.endpoint)?)))
     }
 
+    /// An engine of the placement that is evacuated, the host first.
+    pub(super) fn evacuated_engine<'a>(
+        &self,
+        grant: &'a PlacementGrant,
+    ) -> Option<&'a EndpointTarget> {
+        let helpers = grant.helpers.iter().map(|helper| &helper.target);
+        let mut engines = std::iter::once(&grant.host).chain(helpers);
+        engines.find(|target| self.core.is_evacuated(&target.endpoint))
+    }
+
+    /// Excludes an engine that was granted and to which nothing may be sent now from the next
+    /// placement. A dispatcher that does not know of an evacuation would grant one evacuated engine
+    /// after the other until the tries are used up, so all of them are excluded.
+    pub(super) fn exclude_closed(&mut self, closed: &EndpointId, refusal: GateRefusal) {
+        self.excluded.push(closed.clone());
+        if refusal != GateRefusal::Evacuated {
+            return;
+        }
+        self.exclude_evacuated();
+        spdlog::info!("grant not used", kv: {
+            request = self.request.head.request_id.as_str(),
+            endpoint = closed.as_str(),
+            cause:? = refusal,
+            excluded = self.excluded.len(),
+        });
+    }
+
+    /// Excludes all evacuated engines from the next placement.
+    pub(super) fn exclude_evacuated(&mut self) {
+        let evacuated = self.core.evacuated_endpoints(&self.request.service);
+        for endpoint in evacuated {
+            if !self.excluded.contains(&endpoint) {
+                self.excluded.push(endpoint);
+            }
+        }
+    }
+
     pub(super) async fn request_placement(
         &mut self,
     ) -> Result<(RunGuard, PlacementGrant), RelayFailure> {
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -17,9 +17,12 @@
 use super::run_guard::RunGuard;
 use super::{StreamHead, StreamRun, StreamSession};
 use crate::answer::{WholeAnswer, strip_connection_headers};
-use crate::connections::{AnswerBody, EndpointAnswer, ForwardRequest, GateRule, exchange_outcome};
+use crate::connections::{
+    AnswerBody, EndpointAnswer, ForwardRequest, GateRule, SendError, exchange_outcome,
+};
 use crate::core::RunFailure;
 use crate::dialect::{AnswerSignature, ForwardHead, ForwardHelper};
+use crate::endpoint_gate::GateRefusal;
 use crate::reservation::MemoryReservation;
 
 /// Slack of the first-event timeout, in milliseconds: a run without a first event is abandoned
@@ -39,6 +42,13 @@
     media_type.is_some_and(|value| value.trim().to_ascii_lowercase().starts_with(EVENT_STREAM))
 }
 
+/// The error of a run that was not sent because nothing may be sent to one of its engines.
+fn closed_error(closed: &EndpointTarget) -> RunError {
+    let mut error = RunError::new(RunOutcome::NoPath, RetryReason::EndpointRefused);
+    error.report = error.report.with_fault_at(Some(closed.address));
+    error
+}
+
 impl StreamSession {
     pub(super) async fn start_run(
         &mut self,
@@ -60,15 +70,17 @@
         let reservation = match reserved {
             Ok(reservation) => reservation,
             Err(error) => {
+                // A reservation that an evacuation has held back says nothing about its engine.
+                let evacuated = self.evacuated_engine(grant);
+                let error = evacuated.map_or(error, closed_error);
                 guard.report(error.report.clone());
                 return Err(error);
             }
         };
-        if let Some((closed, _)) = self.closed_engine(grant) {
+        if let Some((closed, refusal)) = self.closed_engine(grant) {
             // It was learned while the memory was being reserved.
-            let mut error = RunError::new(RunOutcome::NoPath, RetryReason::EndpointRefused);
-            error.report = error.report.with_fault_at(Some(closed.address));
-            self.excluded.push(closed.endpoint.clone());
+            let error = closed_error(closed);
+            self.exclude_closed(&closed.endpoint, refusal);
             guard.report(error.report.clone());
             return Err(error);
         }
@@ -234,6 +246,7 @@
         };
         let call = ForwardRequest {
             target: &grant.host,
+            helpers: &grant.helpers,
             method: request.method.as_str(),
             path_and_query: &request.path_and_query,
             headers: request.forward_headers(self.core.dialect(), &head),
@@ -244,6 +257,11 @@
         };
         let sent = self.core.connections().send(call).await;
         sent.map_err(|error| {
+            if error == SendError::Closed(GateRefusal::Evacuated)
+                && let Some(evacuated) = self.evacuated_engine(grant)
+            {
+                return closed_error(evacuated);
+            }
             let (outcome, reason) = exchange_outcome(error);
             RunError::new(outcome, reason)
         })
--- a/crates/relay/src/tunnel_host.rs
+++ b/crates/relay/src/tunnel_host.rs
@@ -5,7 +5,7 @@
 
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
-use peer::{HostReport, TunnelGuard, TunnelHandler, TunnelRefusal, TunnelTarget};
+use peer::{HostReport, TunnelGuard, TunnelHandler, TunnelPurpose, TunnelRefusal, TunnelTarget};
 use policy::ids::EndpointId;
 
 use crate::core::{RelayCore, RelayPhase};
@@ -58,7 +58,11 @@
         }
     }
 
-    async fn open(&self, endpoint: EndpointId) -> Result<TunnelTarget, TunnelRefusal> {
+    async fn open(
+        &self,
+        endpoint: EndpointId,
+        purpose: TunnelPurpose,
+    ) -> Result<TunnelTarget, TunnelRefusal> {
         let connector = self.core.connections().connector();
         let is_available = self.core.phase() == RelayPhase::Serving
             && !connector.is_cut_off()
@@ -69,12 +73,12 @@
         let Some(target) = self.core.endpoint_target(&endpoint) else {
             return Err(TunnelRefusal::UnknownEndpoint);
         };
-        self.check_gate(&endpoint)?;
+        self.check_gate(&endpoint, purpose)?;
         let guard = HostedTunnel::new(&self.core, &self.open_tunnels);
         let others = self.core.other_targets(&endpoint, CONTACT_COUNT);
         let stream = connector.connect_for_peer(&target, &others).await?;
         // An answer may have closed the gate meanwhile.
-        self.check_gate(&endpoint)?;
+        self.check_gate(&endpoint, purpose)?;
         self.core.counters().hosted_tunnels.inc();
         spdlog::info!("tunnel hosted", kv: { endpoint = endpoint.as_str() });
         Ok(TunnelTarget {
@@ -85,12 +89,24 @@
 
     /// Refuses a tunnel to an endpoint to which this instance may send nothing: the endpoint counts
     /// requests by the instance from which they reach it.
-    fn check_gate(&self, endpoint: &EndpointId) -> Result<(), TunnelRefusal> {
-        let refusal = match self.core.gate().refusal(endpoint) {
+    fn check_gate(
+        &self,
+        endpoint: &EndpointId,
+        purpose: TunnelPurpose,
+    ) -> Result<(), TunnelRefusal> {
+        let gate = self.core.gate();
+        let closed = match purpose {
+            TunnelPurpose::Request => gate.refusal(endpoint),
+            TunnelPurpose::MemoryOrder => gate.endpoint_refusal(endpoint),
+        };
+        let refusal = match closed {
             None => return Ok(()),
             Some(GateRefusal::Departed) => TunnelRefusal::EndpointLeaving,
-            // What is in doubt here may be known elsewhere.
-            Some(GateRefusal::Held | GateRefusal::Doubted) => TunnelRefusal::EndpointHeld,
+            // What is in doubt here may be known elsewhere. An evacuation is no finding about the
+            // endpoint, for the instance that asks either.
+            Some(GateRefusal::Held | GateRefusal::Doubted | GateRefusal::Evacuated) => {
+                TunnelRefusal::EndpointHeld
+            }
         };
         spdlog::info!("tunnel refused", kv: {
             endpoint = endpoint.as_str(),
@@ -104,8 +120,9 @@
     fn connect(
         &self,
         endpoint: EndpointId,
+        purpose: TunnelPurpose,
     ) -> LocalBoxFuture<'_, Result<TunnelTarget, TunnelRefusal>> {
-        self.open(endpoint).boxed_local()
+        self.open(endpoint, purpose).boxed_local()
     }
 
     fn told(&self, report: HostReport) {
