--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -15,7 +15,7 @@
 
 /// Messages of the log lines about a change of an instance's view or of a dependency. They have to
 /// match the messages that the instances log, word for word.
-const STATE_CHANGE_MESSAGES: [&str; 34] = [
+const STATE_CHANGE_MESSAGES: [&str; 36] = [
     "answer of an earlier era not used",
     "changes not forwarded",
     "configuration applied",
@@ -31,6 +31,8 @@
     "endpoint wants no requests for a time",
     "endpoints reached directly again",
     "entries are of a copy",
+    "evacuation withdrawn",
+    "failure domain evacuated",
     "limit learned from a member",
     "origin of changes",
     "phase changed",
