--- a/crates/relay/tests/evacuation.rs
+++ b/crates/relay/tests/evacuation.rs
@@ -28,14 +28,34 @@
     Expire(Millis),
 }
 
-/// Steps after which two endpoints are known, `a` in the domain `near` and `b` in `far`, and the states
-/// of the known endpoints after further ones.
+/// Changes of a view that knows the endpoints `a` in the domain `near` and `b` in `far`, and the states of
+/// all known endpoints after them.
 struct Case {
     name: &'static str,
     steps: &'static [Step],
     states: &'static [(&'static str, EndpointState)],
 }
 
+impl Case {
+    fn new(
+        name: &'static str,
+        steps: &'static [Step],
+        states: &'static [(&'static str, EndpointState)],
+    ) -> Self {
+        Self {
+            name,
+            steps,
+            states,
+        }
+    }
+}
+
+/// States of the two endpoints while `near` is evacuated, and while no domain is.
+const HELD: &[(&str, EndpointState)] =
+    &[("a", EndpointState::Evacuated), ("b", EndpointState::Ready)];
+const WITHDRAWN: &[(&str, EndpointState)] =
+    &[("a", EndpointState::Ready), ("b", EndpointState::Ready)];
+
 fn apply(view: &mut EndpointView, step: Step) -> ViewChange {
     let domain = |name: &str| DomainId::new(name);
     match step {
@@ -88,71 +108,65 @@
 }
 
 fn evacuation_cases() -> Vec<Case> {
-    use EndpointState::{Evacuated, Leaving, Ready};
-    use Step::{Evacuate, Expire, Listed, Put, Remove, SaysLeaving, Withdraw};
-    let case = |name, steps, states| Case {
-        name,
-        steps,
-        states,
-    };
+    use EndpointState::{Evacuated, Ready};
+    use Step::{Evacuate, Listed, Withdraw};
     vec![
-        case("none", &[], &[("a", Ready), ("b", Ready)]),
-        case(
-            "one domain",
-            &[Evacuate("near")],
-            &[("a", Evacuated), ("b", Ready)],
-        ),
-        case(
+        Case::new("none", &[], WITHDRAWN),
+        Case::new("one domain", &[Evacuate("near")], HELD),
+        Case::new(
             "unknown domain",
             &[Evacuate("elsewhere"), Evacuate("")],
-            &[("a", Ready), ("b", Ready)],
+            WITHDRAWN,
         ),
-        case(
+        Case::new(
             "all domains",
             &[Evacuate("near"), Evacuate("far")],
             &[("a", Evacuated), ("b", Evacuated)],
         ),
-        case(
+        Case::new(
             "withdrawn",
             &[Evacuate("near"), Withdraw("near")],
-            &[("a", Ready), ("b", Ready)],
+            WITHDRAWN,
         ),
-        case(
+        Case::new(
             "one of two is withdrawn",
             &[Evacuate("near"), Evacuate("far"), Withdraw("far")],
-            &[("a", Evacuated), ("b", Ready)],
+            HELD,
         ),
-        case(
+        Case::new(
             "written twice, withdrawn once",
             &[Evacuate("near"), Evacuate("near"), Withdraw("near")],
-            &[("a", Ready), ("b", Ready)],
+            WITHDRAWN,
         ),
-        case(
-            "listed",
-            &[Evacuate("near"), Listed(10, &["near"])],
-            &[("a", Evacuated), ("b", Ready)],
-        ),
-        case(
+        Case::new("listed", &[Evacuate("near"), Listed(10, &["near"])], HELD),
+        Case::new(
             "not listed",
             &[Evacuate("near"), Evacuate("far"), Listed(10, &["far"])],
             &[("a", Ready), ("b", Evacuated)],
         ),
-        case(
+    ]
+}
+
+fn endpoint_cases() -> Vec<Case> {
+    use EndpointState::{Evacuated, Leaving, Ready};
+    use Step::{Evacuate, Expire, Put, Remove, SaysLeaving, Withdraw};
+    vec![
+        Case::new(
             "endpoint that appears later",
             &[Evacuate("new"), Put("c", "new", 1, Ready)],
             &[("a", Ready), ("b", Ready), ("c", Evacuated)],
         ),
-        case(
+        Case::new(
             "restart",
             &[Evacuate("near"), Put("a", "near", 2, Ready)],
-            &[("a", Evacuated), ("b", Ready)],
+            HELD,
         ),
-        case(
+        Case::new(
             "entry that comes back",
             &[Evacuate("near"), Remove("a"), Put("a", "near", 1, Ready)],
-            &[("a", Evacuated), ("b", Ready)],
+            HELD,
         ),
-        case(
+        Case::new(
             "entry that comes back after the withdrawal",
             &[
                 Evacuate("near"),
@@ -160,14 +174,14 @@
                 Withdraw("near"),
                 Put("a", "near", 1, Ready),
             ],
-            &[("a", Ready), ("b", Ready)],
+            WITHDRAWN,
         ),
-        case(
+        Case::new(
             "endpoint that drains",
             &[Evacuate("near"), Put("a", "near", 1, Leaving)],
-            &[("a", Evacuated), ("b", Ready)],
+            HELD,
         ),
-        case(
+        Case::new(
             "endpoint that drains, withdrawn",
             &[
                 Evacuate("near"),
@@ -177,41 +191,33 @@
             ],
             &[("a", Leaving), ("b", Ready)],
         ),
-        case(
+        Case::new(
             "endpoint that says that it leaves, withdrawn",
             &[Evacuate("near"), SaysLeaving("a"), Withdraw("near")],
             &[("a", Leaving), ("b", Ready)],
         ),
-        case(
+        Case::new(
             "endpoint whose entry names another domain",
             &[Evacuate("near"), Put("a", "far", 1, Ready)],
-            &[("a", Ready), ("b", Ready)],
+            WITHDRAWN,
         ),
-        case(
+        Case::new(
             "no time ends it",
             &[Evacuate("near"), Expire(Millis::MAX / 2)],
-            &[("a", Evacuated), ("b", Ready)],
+            HELD,
         ),
     ]
 }
 
 fn store_cases() -> Vec<Case> {
-    use EndpointState::{Evacuated, Ready};
-    use Step::{Evacuate, Expire, Listed, StoreLost, StoreRecovered, StoreRestored, Withdraw};
-    let held: &[(&str, EndpointState)] = &[("a", Evacuated), ("b", Ready)];
-    let withdrawn: &[(&str, EndpointState)] = &[("a", Ready), ("b", Ready)];
-    let case = |name, steps, states| Case {
-        name,
-        steps,
-        states,
-    };
+    use Step::{Evacuate, Expire, Listed, StoreLost, StoreRecovered, StoreRestored};
     vec![
-        case(
+        Case::new(
             "store away",
             &[Evacuate("near"), StoreLost, Expire(600_000)],
-            held,
+            HELD,
         ),
-        case(
+        Case::new(
             "store back with the key",
             &[
                 Evacuate("near"),
@@ -220,9 +226,9 @@
                 Listed(5_000, &["near"]),
                 Expire(10_000),
             ],
-            held,
+            HELD,
         ),
-        case(
+        Case::new(
             "store back without the key",
             &[
                 Evacuate("near"),
@@ -230,9 +236,9 @@
                 StoreRecovered(5_000),
                 Listed(5_000, &[]),
             ],
-            withdrawn,
+            WITHDRAWN,
         ),
-        case(
+        Case::new(
             "missing from the copy",
             &[
                 Evacuate("near"),
@@ -240,9 +246,9 @@
                 Listed(RESTORED_AT, &[]),
                 Expire(REWRITTEN_AT - 1),
             ],
-            held,
+            HELD,
         ),
-        case(
+        Case::new(
             "missing from the copy, not written again",
             &[
                 Evacuate("near"),
@@ -250,9 +256,9 @@
                 Listed(RESTORED_AT, &[]),
                 Expire(REWRITTEN_AT),
             ],
-            withdrawn,
+            WITHDRAWN,
         ),
-        case(
+        Case::new(
             "missing from the copy, written again",
             &[
                 Evacuate("near"),
@@ -261,9 +267,9 @@
                 Evacuate("near"),
                 Expire(REWRITTEN_AT),
             ],
-            held,
+            HELD,
         ),
-        case(
+        Case::new(
             "missing from the copy, written again, all entries read again",
             &[
                 Evacuate("near"),
@@ -272,9 +278,15 @@
                 Listed(RESTORED_AT + 500, &["near"]),
                 Expire(REWRITTEN_AT),
             ],
-            held,
+            HELD,
         ),
-        case(
+    ]
+}
+
+fn copy_cases() -> Vec<Case> {
+    use Step::{Evacuate, Expire, Listed, StoreLost, StoreRecovered, StoreRestored, Withdraw};
+    vec![
+        Case::new(
             "missing from the copy, then withdrawn in the new era",
             &[
                 Evacuate("near"),
@@ -282,9 +294,9 @@
                 Listed(RESTORED_AT, &[]),
                 Withdraw("near"),
             ],
-            withdrawn,
+            WITHDRAWN,
         ),
-        case(
+        Case::new(
             "missing from the copy, read twice",
             &[
                 Evacuate("near"),
@@ -293,18 +305,18 @@
                 Listed(RESTORED_AT + 1_500, &[]),
                 Expire(REWRITTEN_AT - 1),
             ],
-            held,
+            HELD,
         ),
-        case(
+        Case::new(
             "read after those that live have written again",
             &[
                 Evacuate("near"),
                 StoreRestored(RESTORED_AT),
                 Listed(REWRITTEN_AT, &[]),
             ],
-            withdrawn,
+            WITHDRAWN,
         ),
-        case(
+        Case::new(
             "missing from a second copy",
             &[
                 Evacuate("near"),
@@ -314,9 +326,9 @@
                 Listed(RESTORED_AT + 1_000, &[]),
                 Expire(REWRITTEN_AT + 999),
             ],
-            held,
+            HELD,
         ),
-        case(
+        Case::new(
             "missing from the copy, store away when it would end",
             &[
                 Evacuate("near"),
@@ -327,9 +339,9 @@
                 StoreRecovered(60_000),
                 Expire(61_999),
             ],
-            held,
+            HELD,
         ),
-        case(
+        Case::new(
             "missing from the copy, store away and back, all entries read again",
             &[
                 Evacuate("near"),
@@ -340,9 +352,9 @@
                 Listed(60_000, &[]),
                 Expire(61_999),
             ],
-            held,
+            HELD,
         ),
-        case(
+        Case::new(
             "missing from the copy, store away and back",
             &[
                 Evacuate("near"),
@@ -352,9 +364,9 @@
                 StoreRecovered(60_000),
                 Expire(62_000),
             ],
-            withdrawn,
+            WITHDRAWN,
         ),
-        case(
+        Case::new(
             "withdrawn before, and in the copy",
             &[
                 Evacuate("near"),
@@ -364,7 +376,7 @@
                 Listed(RESTORED_AT, &["near"]),
                 Expire(60_000),
             ],
-            held,
+            HELD,
         ),
     ]
 }
@@ -373,7 +385,13 @@
 /// evacuation is withdrawn.
 #[test]
 fn evacuation_holds_until_its_key_is_gone() {
-    for case in evacuation_cases().into_iter().chain(store_cases()) {
+    let cases = [
+        evacuation_cases(),
+        endpoint_cases(),
+        store_cases(),
+        copy_cases(),
+    ];
+    for case in cases.into_iter().flatten() {
         let view = view_with(case.steps);
         let listed = view.in_pool(&PoolId::new("pool"));
         let states = listed
