--- a/crates/model/src/experiment.rs
+++ b/crates/model/src/experiment.rs
@@ -8,7 +8,7 @@
 use policy::dispatch::engine::EngineProfile;
 use policy::dispatch::placement::{
     EndpointInfo, EndpointState, EndpointTarget, PlacementDecision, PlacementGrant,
-    PlacementRequest, PlacementScope, RunKey, RunOutcome, RunReport,
+    PlacementRequest, PlacementScope, RunKey, RunOutcome, RunReport, StartPhase,
 };
 use policy::dispatch::{DispatchLimits, Dispatcher};
 use policy::ids::{AccountId, DomainId, EndpointId, Millis, PoolId};
@@ -425,6 +425,7 @@
         },
         domain: domain_name(index % domains),
         state: EndpointState::Ready,
+        started: StartPhase::Settled,
     }
 }
 
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -3,7 +3,8 @@
 //! An instance sees only its own calls. The expected load is few calls, with an endpoint that is
 //! dead, slow or full from time to time. A call goes to the endpoint with the fewest calls in
 //! flight from this instance, with preference for the instance's own failure domain; endpoints that
-//! failed are ejected for a time.
+//! failed are ejected for a time. An endpoint that has just started gets a part of the calls that it would
+//! get otherwise, which grows to all of them.
 
 use crate::cast::usize_to_f64;
 use crate::dispatch::health::{EndpointHealth, FailureKind};
@@ -13,6 +14,9 @@
 /// Added to the calls in flight of an endpoint in another failure domain when costs are compared.
 const CROSS_DOMAIN_COST: f64 = 1.5;
 
+/// Factor that brings the lower digits of a random number between zero and one to the front.
+const DRAW_DIGITS: f64 = 4_096.0;
+
 #[derive(Debug)]
 struct BalancedEndpoint {
     info: EndpointInfo,
@@ -44,12 +48,19 @@
         for info in list {
             let is_same = |entry: &&mut BalancedEndpoint| entry.info.target == info.target;
             match self.endpoints.iter_mut().find(is_same) {
-                Some(entry) => entry.info = info.clone(),
-                None => self.endpoints.push(BalancedEndpoint {
-                    info: info.clone(),
-                    health: EndpointHealth::new(),
-                    calls_in_flight: 0,
-                }),
+                Some(entry) => {
+                    entry.info = info.clone();
+                    entry.health.set_start(info.started);
+                }
+                None => {
+                    let mut health = EndpointHealth::new();
+                    health.set_start(info.started);
+                    self.endpoints.push(BalancedEndpoint {
+                        info: info.clone(),
+                        health,
+                        calls_in_flight: 0,
+                    });
+                }
             }
         }
     }
@@ -74,6 +85,7 @@
         let is_healthy = |index: &&usize| !self.endpoints[**index].health.is_ejected(now);
         let healthy: Vec<usize> = ready.iter().filter(is_healthy).copied().collect();
         let candidates = if healthy.is_empty() { ready } else { healthy };
+        let candidates = self.without_starting(candidates, draw, now);
         let start = start_index(candidates.len(), draw);
         let rotated = candidates[start..].iter().chain(&candidates[..start]);
         let best = rotated
@@ -83,6 +95,26 @@
         Some(self.endpoints[best].info.target.clone())
     }
 
+    /// The endpoints without those that start and do not get this call. An instance has few calls, so
+    /// that a growing share is a growing chance of each call.
+    fn without_starting(&self, candidates: Vec<usize>, draw: f64, now: Millis) -> Vec<usize> {
+        let health = |index: usize| &self.endpoints[index].health;
+        if !candidates
+            .iter()
+            .any(|index| health(*index).is_starting(now))
+        {
+            return candidates;
+        }
+        // The lower digits of the draw, which the choice among equals does not use.
+        let chance = (draw * DRAW_DIGITS).fract();
+        let gets_call = |index: &usize| chance < health(*index).start_share(now);
+        let chosen: Vec<usize> = candidates.iter().copied().filter(gets_call).collect();
+        if chosen.is_empty() {
+            return candidates;
+        }
+        chosen
+    }
+
     /// Records the end of a call on an endpoint.
     pub fn finish(&mut self, endpoint: &EndpointId, outcome: RunOutcome, now: Millis) {
         let is_same = |entry: &&mut BalancedEndpoint| entry.info.target.endpoint == *endpoint;
--- a/crates/policy/src/catalog.rs
+++ b/crates/policy/src/catalog.rs
@@ -8,6 +8,7 @@
 
 use crate::dispatch::engine::EngineProfile;
 use crate::ids::{AccountId, Millis, PoolId};
+use crate::rate_limit::RequestRate;
 
 /// Whether a request may be executed more than once.
 #[derives::tag]
@@ -96,6 +97,18 @@
     }
 }
 
+/// What endpoints of a service take shortly after their start.
+#[derives::value]
+#[derive(Default)]
+pub struct ColdProfile {
+    /// Time for which an endpoint is cold after it starts during traffic, in milliseconds; `None` if
+    /// the configuration states none.
+    pub time: Option<Millis>,
+    /// Requests a second that a cold endpoint tolerates from all instances together; `None` if it
+    /// tolerates any number.
+    pub rate: Option<RequestRate>,
+}
+
 /// A configured service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceProfile {
@@ -103,6 +116,8 @@
     pub service: PoolId,
     /// Cost model of the endpoints; `None` unless they are model engines.
     pub engine: Option<EngineProfile>,
+    /// What its endpoints take shortly after their start.
+    pub cold: ColdProfile,
 }
 
 /// API keys of a client account.
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -87,7 +87,7 @@
         for endpoint in &mut pool_dispatcher.endpoints {
             let target = &endpoint.info.target;
             match list.iter().find(|info| info.target == *target) {
-                Some(info) => endpoint.info = info.clone(),
+                Some(info) => endpoint.set_info(info),
                 None => endpoint.info.state = super::placement::EndpointState::Leaving,
             }
         }
--- a/crates/policy/src/dispatch/endpoint.rs
+++ b/crates/policy/src/dispatch/endpoint.rs
@@ -47,15 +47,23 @@
 
 impl EndpointLoad {
     pub(super) fn new(info: EndpointInfo) -> Self {
+        let mut health = EndpointHealth::new();
+        health.set_start(info.started);
         Self {
             info,
-            health: EndpointHealth::new(),
+            health,
             hosted: Vec::new(),
             helped: Vec::new(),
             queue: PrefillQueue::default(),
         }
     }
 
+    /// Replaces the description of the endpoint.
+    pub(super) fn set_info(&mut self, info: &EndpointInfo) {
+        self.info = info.clone();
+        self.health.set_start(info.started);
+    }
+
     /// Whether no run of this dispatcher is placed on the endpoint.
     pub(super) fn is_idle(&self) -> bool {
         self.hosted.is_empty() && self.helped.is_empty()
--- a/crates/policy/src/dispatch/health.rs
+++ b/crates/policy/src/dispatch/health.rs
@@ -1,6 +1,8 @@
 //! Health of an endpoint as its runs show it: outlier ejection and slowdown.
 
+use super::placement::StartPhase;
 use crate::ids::Millis;
+use crate::slow_start::SlowStart;
 
 /// Shortest ejection of an endpoint after failures, in milliseconds; it doubles with each further
 /// failure in a row.
@@ -45,6 +47,7 @@
     ejected_until: Millis,
     slowdown: f64,
     slowdown_at: Millis,
+    start: SlowStart,
 }
 
 impl Default for EndpointHealth {
@@ -62,6 +65,7 @@
             ejected_until: 0,
             slowdown: 1.0,
             slowdown_at: 0,
+            start: SlowStart::default(),
         }
     }
 
@@ -77,9 +81,42 @@
         self.ejected_until
     }
 
-    /// Estimated time of work on the endpoint as a multiple of the published cost.
+    /// Sets whether the endpoint has just started.
+    pub fn set_start(&mut self, phase: StartPhase) {
+        self.start.set_phase(phase);
+    }
+
+    /// Whether the endpoint is assumed to be slow because it has just started.
+    #[must_use]
+    pub fn is_starting(&self, now: Millis) -> bool {
+        self.start.is_starting(now)
+    }
+
+    /// Share of the work of others that the endpoint gets while it starts, at most one.
+    #[must_use]
+    pub fn start_share(&self, now: Millis) -> f64 {
+        self.start.share(now)
+    }
+
+    /// Records an answer of the endpoint that took `relative_time` times as long as those of others.
+    pub fn answered(&mut self, relative_time: f64) {
+        self.start.answered(relative_time);
+    }
+
+    /// Estimated time of work on the endpoint as a multiple of the published cost: as its runs show it,
+    /// or as it is assumed of an endpoint that has just started.
     #[must_use]
     pub fn slowdown(&self, now: Millis) -> f64 {
+        let start_slowdown = 1.0 / self.start_share(now);
+        if start_slowdown > 1.0 {
+            return self.measured_slowdown(now).max(start_slowdown);
+        }
+        self.measured_slowdown(now)
+    }
+
+    /// Estimated time of work on the endpoint as its runs show it, as a multiple of the published cost.
+    #[must_use]
+    pub fn measured_slowdown(&self, now: Millis) -> f64 {
         let age = now.saturating_sub(self.slowdown_at);
         if self.slowdown <= 1.0 || age < SLOWDOWN_HALF_LIFE {
             return self.slowdown;
@@ -122,7 +159,7 @@
     /// says `expected`, both in milliseconds.
     pub fn record_latency(&mut self, expected: f64, actual: f64, now: Millis) {
         let ratio = (actual / expected.max(1.0)).clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
-        let slowdown = self.slowdown(now);
+        let slowdown = self.measured_slowdown(now);
         self.slowdown = slowdown + (ratio - slowdown) * SLOWDOWN_SMOOTHING;
         self.slowdown_at = now;
     }
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -166,6 +166,17 @@
     Leaving,
 }
 
+/// Whether an endpoint has just started.
+#[derives::tag]
+#[derive(Default)]
+pub enum StartPhase {
+    /// Its start was not seen, or says nothing of its speed.
+    #[default]
+    Settled,
+    /// It was seen to start during traffic, at this time.
+    StartedAt(Millis),
+}
+
 /// An endpoint as the platform describes it.
 #[derives::value]
 pub struct EndpointInfo {
@@ -175,6 +186,8 @@
     pub domain: DomainId,
     /// Whether the endpoint accepts new runs.
     pub state: EndpointState,
+    /// Whether the endpoint has just started.
+    pub started: StartPhase,
 }
 
 /// An engine of a run in flight.
--- a/crates/policy/src/dispatch/pool_dispatcher.rs
+++ b/crates/policy/src/dispatch/pool_dispatcher.rs
@@ -111,6 +111,14 @@
         }
         run.phase = RunPhase::Decode;
         let elapsed_ms = u64_to_f64(now.saturating_sub(run.placed_at));
+        let is_starting = |index: &usize| self.endpoints[*index].health.is_starting(now);
+        if run.engines.iter().any(is_starting) {
+            let relative = elapsed_ms / (run.first_event_ms / run.slowdown).max(1.0);
+            let relative = relative / usual_slowdown(&self.endpoints, now);
+            for index in &run.engines {
+                self.endpoints[*index].health.answered(relative);
+            }
+        }
         for (position, index) in run.engines.iter().enumerate() {
             let endpoint = &mut self.endpoints[*index];
             endpoint.end_prefill(&self.profile, key, now);
@@ -364,6 +372,9 @@
             });
             if let Some(plan) = accepted {
                 rates.take(&self.endpoints[plan.host].info.target.endpoint, now);
+                for helper in &plan.helpers {
+                    rates.take_cold(&self.endpoints[helper.index].info.target.endpoint, now);
+                }
                 if queued.is_short(limits) {
                     self.short_gauge.placed(now);
                 }
@@ -480,6 +491,20 @@
     }
 }
 
+/// Mean slowdown of the ready endpoints that are not starting; one if there are none.
+fn usual_slowdown(endpoints: &[EndpointLoad], now: Millis) -> f64 {
+    let is_usual =
+        |endpoint: &&EndpointLoad| endpoint.is_ready() && !endpoint.health.is_starting(now);
+    let usual = endpoints.iter().filter(is_usual);
+    let slowdowns: Vec<f64> = usual
+        .map(|endpoint| endpoint.health.slowdown(now))
+        .collect();
+    if slowdowns.is_empty() {
+        return 1.0;
+    }
+    slowdowns.iter().sum::<f64>() / usize_to_f64(slowdowns.len())
+}
+
 /// Time until all pending prefill of the engines and `ahead_ms` of prefill of requests that are
 /// queued ahead will be done, in milliseconds.
 fn expected_wait_ms(
--- a/crates/policy/src/dispatch/search.rs
+++ b/crates/policy/src/dispatch/search.rs
@@ -281,11 +281,13 @@
             && candidate.can_decode(PrefillShare::for_engines(split), pause_ms)
     }
 
-    /// Whether the engine may prefill a part for another one; one that limits its requests is spared.
+    /// Whether the engine may prefill a part for another one; one that has named a limit on its
+    /// requests is spared. A cold one is a candidate only when its next request is due, and the part
+    /// counts as that request.
     fn can_help(&self, candidate: &PlacementCandidate<'_>) -> bool {
         let is_limited = self
             .rates
-            .rate(&candidate.endpoint.info.target.endpoint)
+            .named_rate(&candidate.endpoint.info.target.endpoint)
             .is_some();
         !is_limited && candidate.endpoint.helped.len() < self.profile.slots
     }
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -4,10 +4,14 @@
 //! that decides for several instances counts what it grants; where several dispatchers decide at
 //! once, each uses its share of the limit. The pace is kept by the generic cell rate algorithm
 //! (ITU-T I.371) without a burst: grants are at least one interval apart.
+//!
+//! A cold endpoint has a limit of another kind (see [`crate::cold_limit`]), which ends by time. Both
+//! may hold at once; then the smaller one decides.
 
 use std::collections::HashMap;
 
 use crate::cast::{f64_to_u64, u64_to_f64, usize_to_f64};
+use crate::cold_limit::{ColdLimit, ColdPace, RecentGrants};
 use crate::ids::{EndpointId, Millis};
 
 /// Slowest pace that is kept, in requests a second. An endpoint that gets no requests at all could
@@ -17,6 +21,9 @@
 /// Time for which a limit holds after it was last heard, in milliseconds.
 const LIMIT_RETENTION: Millis = 600_000;
 
+/// Endpoints whose recent grants are remembered before outdated ones are dropped.
+const MAX_REMEMBERED: usize = 256;
+
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 const THOUSANDTHS: f64 = 1_000.0;
@@ -77,15 +84,24 @@
 #[derive(Debug)]
 pub struct RateTable {
     limits: HashMap<EndpointId, EndpointLimit>,
+    /// Limits of cold endpoints.
+    cold: HashMap<EndpointId, ColdPace>,
+    /// Grants of the last second, which count when an endpoint turns cold.
+    recent: HashMap<EndpointId, RecentGrants>,
     /// Part of each limit that this dispatcher may use, above zero and at most one.
     share: f64,
+    /// Part of an interval by which the first grant to a cold endpoint is put off.
+    phase: f64,
 }
 
 impl Default for RateTable {
     fn default() -> Self {
         Self {
             limits: HashMap::new(),
+            cold: HashMap::new(),
+            recent: HashMap::new(),
             share: 1.0,
+            phase: 0.0,
         }
     }
 }
@@ -97,6 +113,12 @@
         Self::default()
     }
 
+    /// Sets the part of an interval, below one, by which the first grant to a cold endpoint is put off.
+    /// It should differ between instances.
+    pub fn set_phase(&mut self, phase: f64) {
+        self.phase = phase.clamp(0.0, 1.0);
+    }
+
     /// Sets the number of instances that this dispatcher decides for, of all instances.
     pub fn set_share(&mut self, decided_for: usize, instances: usize) {
         let share = usize_to_f64(decided_for.max(1)) / usize_to_f64(instances.max(1));
@@ -155,13 +177,49 @@
         true
     }
 
-    /// The limit of an endpoint; `None` if it has none.
+    /// Sets or ends the limit of a cold endpoint. A limit that is set again, with another end or
+    /// rate, continues at the pace of the grants so far.
+    pub fn set_cold(&mut self, endpoint: &EndpointId, limit: Option<ColdLimit>, now: Millis) {
+        self.cold.retain(|_, pace| !pace.is_over(now));
+        let Some(limit) = limit.filter(|limit| now < limit.until) else {
+            self.cold.remove(endpoint);
+            return;
+        };
+        if let Some(pace) = self.cold.get_mut(endpoint) {
+            pace.set_limit(limit);
+            return;
+        }
+        let recent = self.recent.remove(endpoint).unwrap_or_default();
+        let pace = ColdPace::new(limit, &recent, self.share, self.phase, now);
+        self.cold.insert(endpoint.clone(), pace);
+    }
+
+    /// The limit of a cold endpoint; `None` if it is warm.
+    #[must_use]
+    pub fn cold_limit(&self, endpoint: &EndpointId, now: Millis) -> Option<ColdLimit> {
+        self.cold_pace(endpoint, now).map(ColdPace::limit)
+    }
+
+    fn cold_pace(&self, endpoint: &EndpointId, now: Millis) -> Option<&ColdPace> {
+        let pace = self.cold.get(endpoint)?;
+        (!pace.is_over(now)).then_some(pace)
+    }
+
+    /// The limit of an endpoint, the smaller one if it has named one and is cold; `None` if it has
+    /// none.
     #[must_use]
-    pub fn rate(&self, endpoint: &EndpointId) -> Option<RequestRate> {
+    pub fn rate(&self, endpoint: &EndpointId, now: Millis) -> Option<RequestRate> {
+        let cold = self.cold_limit(endpoint, now).map(|limit| limit.rate);
+        self.named_rate(endpoint).into_iter().chain(cold).min()
+    }
+
+    /// The limit that an endpoint has named; `None` if it has named none.
+    #[must_use]
+    pub fn named_rate(&self, endpoint: &EndpointId) -> Option<RequestRate> {
         self.limits.get(endpoint)?.rate
     }
 
-    /// When the limit of an endpoint was last heard of; `None` if it has none.
+    /// When the limit that an endpoint has named was last heard of; `None` if it has named none.
     #[must_use]
     pub fn heard_at(&self, endpoint: &EndpointId) -> Option<Millis> {
         let limit = self.limits.get(endpoint)?;
@@ -171,11 +229,16 @@
     /// Time until the endpoint may get a request, in milliseconds; zero if it may get one now.
     #[must_use]
     pub fn wait_ms(&self, endpoint: &EndpointId, now: Millis) -> Millis {
+        f64_to_u64(self.exact_wait_ms(endpoint, now).ceil())
+    }
+
+    fn exact_wait_ms(&self, endpoint: &EndpointId, now: Millis) -> f64 {
         let limit = self.limits.get(endpoint);
         let limited = limit.filter(|limit| limit.rate.is_some());
-        limited.map_or(0, |limit| {
-            f64_to_u64((limit.next_at - u64_to_f64(now)).max(0.0).ceil())
-        })
+        let named_wait_ms = limited.map_or(0.0, |limit| limit.next_at - u64_to_f64(now));
+        let cold = self.cold_pace(endpoint, now);
+        let cold_wait_ms = cold.map_or(0.0, |pace| pace.wait_ms(self.share, now));
+        named_wait_ms.max(cold_wait_ms).max(0.0)
     }
 
     /// Counts a request that the endpoint gets. Call it only when [`Self::wait_ms`] is zero.
@@ -186,6 +249,28 @@
         {
             limit.next_at = limit.next_at.max(u64_to_f64(now)) + interval_ms(rate, share);
         }
+        self.take_cold(endpoint, now);
+        self.remember(endpoint, now);
+    }
+
+    /// Counts work for the request of another endpoint, which a cold endpoint gets at the same pace.
+    pub fn take_cold(&mut self, endpoint: &EndpointId, now: Millis) {
+        if let Some(pace) = self.cold.get_mut(endpoint) {
+            pace.take(self.share, now);
+        }
+    }
+
+    /// Remembers a grant for the case that its endpoint turns cold.
+    fn remember(&mut self, endpoint: &EndpointId, now: Millis) {
+        if let Some(recent) = self.recent.get_mut(endpoint) {
+            recent.record(now);
+            return;
+        }
+        if self.recent.len() >= MAX_REMEMBERED {
+            self.recent.retain(|_, recent| !recent.is_outdated(now));
+        }
+        let recent = self.recent.entry(endpoint.clone()).or_default();
+        recent.record(now);
     }
 
     /// Counts a request if the endpoint may get one now.
@@ -209,16 +294,26 @@
         now: Millis,
     ) -> f64 {
         let mut first_ms = f64::INFINITY;
+        let mut warm_ms = f64::INFINITY;
         let mut per_ms = 0.0;
         for endpoint in endpoints {
-            let Some(rate) = self.rate(endpoint) else {
+            let named = self
+                .named_rate(endpoint)
+                .map(|rate| 1.0 / interval_ms(rate, self.share));
+            let cold = self.cold_pace(endpoint, now);
+            let cold_rate = cold.map(|pace| pace.per_ms(self.share));
+            let Some(rate) = named.into_iter().chain(cold_rate).reduce(f64::min) else {
                 return 0.0;
             };
-            first_ms = first_ms.min(u64_to_f64(self.wait_ms(endpoint, now)));
-            per_ms += 1.0 / interval_ms(rate, self.share);
+            if let (None, Some(pace)) = (named, cold) {
+                // Nothing limits it any more once it is warm.
+                warm_ms = warm_ms.min(pace.left_ms(now));
+            }
+            first_ms = first_ms.min(self.exact_wait_ms(endpoint, now).ceil());
+            per_ms += rate;
         }
         if per_ms > 0.0 {
-            first_ms + usize_to_f64(ahead) / per_ms
+            (first_ms + usize_to_f64(ahead) / per_ms).min(warm_ms)
         } else {
             0.0
         }
--- a/crates/policy/tests/catalog.rs
+++ b/crates/policy/tests/catalog.rs
@@ -8,10 +8,12 @@
     ServiceCatalog, ServiceRoute,
 };
 use jackdawpoint_policy::dispatch::placement::{
-    EndpointInfo, EndpointState, EndpointTarget, RunOutcome,
+    EndpointInfo, EndpointState, EndpointTarget, RunOutcome, StartPhase,
 };
 use jackdawpoint_policy::fleet::{FleetMember, FleetMembership};
-use jackdawpoint_policy::ids::{AccountId, DomainId, EndpointId, Incarnation, InstanceId, PoolId};
+use jackdawpoint_policy::ids::{
+    AccountId, DomainId, EndpointId, Incarnation, InstanceId, Millis, PoolId,
+};
 
 fn route(host: &str, prefix: &str, access: RouteAccess) -> ServiceRoute {
     ServiceRoute {
@@ -215,6 +217,7 @@
         },
         domain: DomainId::new(domain),
         state: EndpointState::Ready,
+        started: StartPhase::Settled,
     }
 }
 
@@ -307,3 +310,46 @@
         );
     }
 }
+
+/// Guards against a full share of calls for an endpoint that has just started.
+#[test]
+fn started_endpoint_gets_a_growing_share_of_calls() {
+    struct Case {
+        name: &'static str,
+        now: Millis,
+        share: std::ops::RangeInclusive<u32>,
+    }
+    let cases = [
+        Case {
+            name: "just started",
+            now: 1_000,
+            share: 130..=200,
+        },
+        Case {
+            name: "half of the time has passed",
+            now: 3_000,
+            share: 290..=370,
+        },
+        Case {
+            name: "the time has passed",
+            now: 5_000,
+            share: 480..=520,
+        },
+    ];
+    for case in cases {
+        let mut balancer = CallBalancer::new(DomainId::new("near"));
+        let started = EndpointInfo {
+            started: StartPhase::StartedAt(1_000),
+            ..endpoint_info(1, "near")
+        };
+        balancer.set_endpoints(&[started, endpoint_info(2, "near")]);
+        let mut calls = 0;
+        for number in 0..1_000 {
+            let draw = (f64::from(number) * 0.618_034).fract();
+            let target = balancer.start(&[], draw, case.now).expect("one is ready");
+            balancer.finish(&target.endpoint, RunOutcome::Served, case.now);
+            calls += u32::from(target.endpoint.as_str() == "endpoint-1");
+        }
+        assert!(case.share.contains(&calls), "{}: {calls}", case.name);
+    }
+}
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -1,11 +1,15 @@
 //! Placement, queueing and refusal of requests by the dispatcher.
 
+use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
+use jackdawpoint_policy::cold_limit::ColdLimit;
 use jackdawpoint_policy::dispatch::engine::EngineProfile;
+use jackdawpoint_policy::dispatch::health::EndpointHealth;
 use jackdawpoint_policy::dispatch::placement::{
     EndpointInfo, EndpointState, EndpointTarget, InFlightEndpoint, InFlightRun, PlacementDecision,
     PlacementGrant, PlacementRequest, PlacementScope, RunKey, RunOutcome, RunPhase, RunReport,
+    StartPhase,
 };
 use jackdawpoint_policy::dispatch::{DispatchLimits, Dispatcher};
 use jackdawpoint_policy::ids::{AccountId, DomainId, EndpointId, Millis, PoolId};
@@ -44,6 +48,7 @@
         },
         domain: DomainId::new(format!("domain-{}", index % 3)),
         state,
+        started: StartPhase::Settled,
     }
 }
 
@@ -717,7 +722,7 @@
         dispatcher.first_event(key(1), 200);
         let endpoint = EndpointId::new("engine-0");
         assert!(
-            dispatcher.rates().rate(&endpoint).is_some(),
+            dispatcher.rates().rate(&endpoint, 200).is_some(),
             "{}",
             case.name
         );
@@ -727,7 +732,7 @@
             limit(&mut dispatcher, 0, 1.0, 1_300);
         }
         dispatcher.first_event(key(2), 1_300);
-        let has_ended = dispatcher.rates().rate(&endpoint).is_none();
+        let has_ended = dispatcher.rates().rate(&endpoint, 1_300).is_none();
         assert_eq!(has_ended, case.has_ended, "{}", case.name);
     }
 }
@@ -788,3 +793,243 @@
         assert_eq!(is_granted, case.is_granted, "{}: {decision:?}", case.name);
     }
 }
+
+/// Time for which engines are cold, in milliseconds.
+const COLD_TIME: Millis = 3_000;
+
+fn turn_cold(dispatcher: &mut Dispatcher, index: u8, per_second: f64, now: Millis) {
+    let limit = ColdLimit {
+        rate: RequestRate::new(per_second).expect("the rate is valid"),
+        until: now + COLD_TIME,
+    };
+    let endpoint = EndpointId::new(format!("engine-{index}"));
+    dispatcher.rates_mut().set_cold(&endpoint, Some(limit), now);
+}
+
+/// Most grants in a second, for each engine that hosts any.
+fn busiest_seconds(hosted: &[(Millis, String)]) -> HashMap<String, usize> {
+    let mut busiest = HashMap::new();
+    for (first, engine) in hosted {
+        let in_window = |(at, other): &&(Millis, String)| {
+            other == engine && *at >= *first && *at < *first + 1_000
+        };
+        let count = hosted.iter().filter(in_window).count();
+        let most = busiest.entry(engine.clone()).or_insert(0);
+        *most = count.max(*most);
+    }
+    busiest
+}
+
+/// Short requests every 4 ms from `now` on, each of which runs for 100 ms. Returns the grants and the
+/// number of requests that are refused.
+fn serve_burst(
+    dispatcher: &mut Dispatcher,
+    from: Millis,
+    until: Millis,
+) -> (Vec<(Millis, String)>, usize) {
+    let mut hosted = Vec::new();
+    let mut running: Vec<(Millis, RunKey)> = Vec::new();
+    let mut refused = 0;
+    for now in (from..until).step_by(4) {
+        running.retain(|(ends_at, run)| {
+            if *ends_at <= now {
+                dispatcher.finish(*run, &RunReport::new(RunOutcome::Served), now);
+            }
+            *ends_at > now
+        });
+        refused += usize::from(dispatcher.submit(key(now), short(), now).is_some());
+        for (run, decision) in dispatcher.decide(now) {
+            match decision {
+                PlacementDecision::Granted(grant) => {
+                    hosted.push((now, grant.host.endpoint.as_str().to_owned()));
+                    running.push((now + 100, run));
+                }
+                PlacementDecision::Refused(_) => refused += 1,
+            }
+        }
+    }
+    (hosted, refused)
+}
+
+/// Guards against bursts on the cold engines of a failure domain, which are idle, and against requests
+/// that are lost though the other engines can carry them.
+#[test]
+fn cold_failure_domain_is_paced_while_the_others_carry_the_load() {
+    struct Case {
+        name: &'static str,
+        /// Engines that turn cold, after a second of load.
+        cold: &'static [u8],
+        /// Whether nothing may be sent to them before, as to an evacuated failure domain.
+        is_withdrawn: bool,
+        max_refused: usize,
+    }
+    let cases = [
+        Case {
+            name: "a third of the engines",
+            cold: &[0, 3, 6],
+            is_withdrawn: false,
+            max_refused: 0,
+        },
+        Case {
+            name: "a third, from the withdrawal of their evacuation on",
+            cold: &[0, 3, 6],
+            is_withdrawn: true,
+            max_refused: 0,
+        },
+        Case {
+            name: "all engines",
+            cold: &[0, 1, 2, 3, 4, 5, 6, 7, 8],
+            is_withdrawn: false,
+            max_refused: 750,
+        },
+    ];
+    for case in cases {
+        let mut dispatcher = dispatcher(9);
+        let state = |index: &u8| match case.is_withdrawn && case.cold.contains(index) {
+            true => EndpointState::Leaving,
+            false => EndpointState::Ready,
+        };
+        let list: Vec<EndpointInfo> = (0..9).map(|index| info(index, state(&index))).collect();
+        dispatcher.set_endpoints(&pool(), &list);
+        serve_burst(&mut dispatcher, 0, 1_000);
+        for index in case.cold {
+            turn_cold(&mut dispatcher, *index, 5.0, 1_000);
+        }
+        let ready: Vec<EndpointInfo> = (0..9)
+            .map(|index| info(index, EndpointState::Ready))
+            .collect();
+        dispatcher.set_endpoints(&pool(), &ready);
+        let (hosted, refused) = serve_burst(&mut dispatcher, 1_000, 1_000 + COLD_TIME);
+        for (engine, busiest) in busiest_seconds(&hosted) {
+            let is_cold = case
+                .cold
+                .iter()
+                .any(|index| engine == format!("engine-{index}"));
+            assert!(!is_cold || busiest <= 6, "{}: {busiest}", case.name);
+        }
+        assert!(refused <= case.max_refused, "{}: {refused}", case.name);
+        if case.cold.len() == 9 {
+            // Five a second from each of nine engines, after a second for the load before.
+            assert!(hosted.len() >= 80, "{}: {}", case.name, hosted.len());
+            let (warm, refused) = serve_burst(&mut dispatcher, 4_000, 5_000);
+            assert!(
+                warm.len() >= 240 && refused <= 20,
+                "{}, {refused}",
+                warm.len()
+            );
+        }
+    }
+}
+
+/// Guards against refusals that name a time at which the engines are still cold, or wait for the
+/// deadline instead of refusing.
+#[test]
+fn request_that_only_cold_engines_could_serve_is_refused_at_once() {
+    let mut dispatcher = dispatcher(2);
+    for index in 0..2 {
+        turn_cold(&mut dispatcher, index, 0.5, 0);
+    }
+    match decide(&mut dispatcher, 1, short(), 10) {
+        Some(PlacementDecision::Refused(refusal)) => {
+            assert_eq!(refusal.reason, RefusalReason::EndpointLimits);
+            assert!((1_900..=2_000).contains(&refusal.retry_after));
+        }
+        other => panic!("unexpected decision {other:?}"),
+    }
+    grant(&mut dispatcher, 2, short(), 2_000);
+    grant(&mut dispatcher, 3, short(), COLD_TIME);
+}
+
+/// Guards against cold engines that get more work as helpers than as hosts.
+#[test]
+fn cold_engine_helps_at_its_pace() {
+    let mut dispatcher = dispatcher(4);
+    for index in 0..4 {
+        turn_cold(&mut dispatcher, index, 1.0, 0);
+    }
+    let granted = grant(&mut dispatcher, 1, long(154_000), 1_000);
+    assert!(!granted.helpers.is_empty());
+    let engines = granted.helpers.iter().map(|helper| &helper.target);
+    for target in engines.chain([&granted.host]) {
+        let wait = dispatcher.rates().wait_ms(&target.endpoint, 1_000);
+        assert!(wait >= 900, "{wait}");
+    }
+}
+
+/// Guards against full work for an engine that has just started, and against one that stays short of
+/// work though it answers fast.
+#[test]
+fn started_engine_gets_a_growing_share() {
+    struct Case {
+        name: &'static str,
+        /// Time after the start.
+        age: Millis,
+        /// Answers before, each as fast as published.
+        answers: u64,
+        slowdowns: (f64, f64),
+    }
+    let cases = [
+        Case {
+            name: "just started",
+            age: 0,
+            answers: 0,
+            slowdowns: (2.9, 3.1),
+        },
+        Case {
+            name: "half of the time has passed",
+            age: 2_000,
+            answers: 0,
+            slowdowns: (1.4, 1.6),
+        },
+        Case {
+            name: "the time has passed",
+            age: 4_000,
+            answers: 0,
+            slowdowns: (1.0, 1.0),
+        },
+        Case {
+            name: "fast answers",
+            age: 100,
+            answers: 4,
+            slowdowns: (1.0, 1.1),
+        },
+    ];
+    for case in cases {
+        let mut health = EndpointHealth::new();
+        health.set_start(StartPhase::StartedAt(10_000));
+        for _ in 0..case.answers {
+            health.answered(1.1);
+            health.answered(3.0);
+        }
+        let slowdown = health.slowdown(10_000 + case.age);
+        let (least, most) = case.slowdowns;
+        assert!(
+            (least..=most).contains(&slowdown),
+            "{}: {slowdown}",
+            case.name
+        );
+        // The same start, told again, does not begin anew; another one does.
+        health.set_start(StartPhase::StartedAt(10_000));
+        assert!((health.slowdown(10_000 + case.age) - slowdown).abs() < 1e-9);
+        health.set_start(StartPhase::StartedAt(20_000));
+        assert!(health.is_starting(20_000));
+    }
+}
+
+/// Guards against a start that the dispatcher is told of and does not apply.
+#[test]
+fn engine_that_started_during_traffic_gets_fewer_prompts() {
+    let mut dispatcher = dispatcher(2);
+    let started = EndpointInfo {
+        started: StartPhase::StartedAt(5_000),
+        ..info(0, EndpointState::Ready)
+    };
+    let list = [started, info(1, EndpointState::Ready)];
+    dispatcher.set_endpoints(&pool(), &list);
+    let mut hosted = [0, 0];
+    for number in 0..4 {
+        let granted = grant(&mut dispatcher, number, long(20_000), 5_000);
+        hosted[usize::from(granted.host.endpoint.as_str() == "engine-1")] += 1;
+    }
+    assert!(hosted[0] >= 1 && hosted[0] < hosted[1], "{hosted:?}");
+}
--- a/crates/policy/tests/prefill.rs
+++ b/crates/policy/tests/prefill.rs
@@ -6,7 +6,7 @@
 use jackdawpoint_policy::dispatch::engine::EngineProfile;
 use jackdawpoint_policy::dispatch::placement::{
     EndpointInfo, EndpointState, EndpointTarget, PlacementDecision, PlacementGrant,
-    PlacementRequest, PlacementScope, RunKey, RunOutcome, RunReport,
+    PlacementRequest, PlacementScope, RunKey, RunOutcome, RunReport, StartPhase,
 };
 use jackdawpoint_policy::dispatch::{DispatchLimits, Dispatcher};
 use jackdawpoint_policy::ids::{AccountId, DomainId, EndpointId, Millis, PoolId};
@@ -44,6 +44,7 @@
         },
         domain: DomainId::new("domain"),
         state: EndpointState::Ready,
+        started: StartPhase::Settled,
     };
     let mut dispatcher = Dispatcher::new(DispatchLimits::default());
     dispatcher.set_pool(&pool(), &profile);
@@ -273,6 +274,7 @@
         },
         domain: DomainId::new(if index < 3 { "near" } else { "far" }),
         state: EndpointState::Ready,
+        started: StartPhase::Settled,
     };
     dispatcher.set_endpoints(&pool(), &(0..6).map(info).collect::<Vec<_>>());
     let caller_domains = ["near", "far", "near", "far", "near", "far"];
--- a/crates/policy/tests/rate_limit.rs
+++ b/crates/policy/tests/rate_limit.rs
@@ -204,7 +204,7 @@
     let mut table = limited_table(2.0, 5_000);
     for case in cases {
         table.apply(&case.notice, 10_000);
-        assert_eq!(table.rate(&endpoint()), case.rate, "{}", case.name);
+        assert_eq!(table.rate(&endpoint(), 10_000), case.rate, "{}", case.name);
     }
     assert_eq!(table.wait_ms(&endpoint(), 10_000), 0);
 }
--- a/crates/relay/src/core/endpoints.rs
+++ b/crates/relay/src/core/endpoints.rs
@@ -1,7 +1,7 @@
 //! The endpoints that this instance may use, and what they say of themselves in answers.
 
 use policy::balance::CallBalancer;
-use policy::dispatch::placement::{EndpointState, EndpointTarget, PlacementGrant};
+use policy::dispatch::placement::{EndpointState, EndpointTarget, PlacementGrant, StartPhase};
 use policy::ids::{EndpointId, Millis, PoolId};
 use policy::rate_limit::{RateNotice, RequestRate};
 use rand::seq::IteratorRandom;
@@ -43,6 +43,8 @@
         let Some(catalog) = self.catalog() else {
             return;
         };
+        // The dispatcher places requests as soon as it has the endpoints.
+        self.refresh_cold();
         let endpoint_view = self.gate().view().borrow();
         let connector = self.connections().connector();
         connector.set_endpoints(endpoint_view.len(), |endpoint| {
@@ -51,7 +53,12 @@
         let count = i64::try_from(endpoint_view.len()).unwrap_or(i64::MAX);
         self.counters.endpoints.set(count);
         for service in catalog.services() {
-            let list = endpoint_view.in_pool(&service.service);
+            let mut list = endpoint_view.in_pool(&service.service);
+            if service.cold.time.is_none() {
+                for info in &mut list {
+                    info.started = StartPhase::Settled;
+                }
+            }
             if service.engine.is_some() {
                 self.dependencies
                     .driver
@@ -124,9 +131,10 @@
         change
     }
 
-    /// Whether the endpoint has named a limit in an answer to this instance.
+    /// Whether the endpoint has named a limit in an answer to this instance, or is cold.
     pub(crate) fn is_limited(&self, endpoint: &EndpointId) -> bool {
-        self.heard_limits.borrow().rate(endpoint).is_some()
+        let is_named = self.heard_limits.borrow().named_rate(endpoint).is_some();
+        is_named || self.is_cold(endpoint)
     }
 
     /// Records the limit that an endpoint names, or does not name, in its answer to a request that
--- a/crates/relay/src/core/mod.rs
+++ b/crates/relay/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! State of one relay: configuration, endpoints, lifecycle phase and the services that request
 //! handling uses.
 
+mod cold;
 mod crashes;
 mod endpoints;
 mod stopping;
@@ -12,6 +13,7 @@
 
 use policy::balance::CallBalancer;
 use policy::catalog::ServiceCatalog;
+use policy::cold_limit::ColdBounds;
 use policy::dispatch::placement::{EndpointTarget, RunOutcome};
 use policy::ids::{DomainId, EndpointId, Millis, PoolId};
 use policy::outcome::RetryReason;
@@ -21,6 +23,7 @@
 use rand::{Rng, SeedableRng};
 use tokio::sync::Notify;
 
+use self::cold::ColdLimits;
 pub(crate) use self::crashes::RunFailure;
 use self::stopping::StopState;
 pub(crate) use self::stopping::{NOT_READY_RETRY_AFTER, RouteTrial, StopAdmission};
@@ -86,6 +89,8 @@
     pub crashes: RefCell<CrashRegistry>,
     /// Time to live of a memory reservation, in milliseconds.
     pub reservation_ttl: Millis,
+    /// What may arrive at a cold endpoint.
+    pub cold_bounds: ColdBounds,
 }
 
 /// Relay of one instance. Runs on a single thread.
@@ -102,6 +107,8 @@
     caller_connections: Rc<CallerConnections>,
     /// Limits that endpoints have named in answers to this instance.
     heard_limits: RefCell<RateTable>,
+    /// Limits of cold endpoints.
+    cold: RefCell<ColdLimits>,
     last_request_number: Cell<u64>,
     notices_added: Notify,
     random: RefCell<SmallRng>,
@@ -122,6 +129,7 @@
             stop: StopState::default(),
             caller_connections: Rc::default(),
             heard_limits: RefCell::new(RateTable::new()),
+            cold: RefCell::new(ColdLimits::new()),
             last_request_number: Cell::new(0),
             notices_added: Notify::new(),
             random: RefCell::new(SmallRng::from_os_rng()),
@@ -234,6 +242,7 @@
         loop {
             tokio::time::sleep(MAINTENANCE_PERIOD).await;
             self.update_endpoints(EndpointView::expire);
+            self.refresh_cold();
             self.dependencies.connections.expire();
             self.release_statements();
         }
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -30,6 +30,8 @@
     pub config_version: IntGauge,
     /// Known endpoints.
     pub endpoints: IntGauge,
+    /// Endpoints that are cold and have a limit.
+    pub cold_endpoints: IntGauge,
     /// Watches of the platform's store, directly or through a reader.
     pub store_watches: IntCounter,
     /// Failed watches of the platform's store.
@@ -86,6 +88,7 @@
             in_flight: gauge(&registry, "in_hand", "Requests in hand."),
             config_version: gauge(&registry, "config_version", "Configuration in force."),
             endpoints: gauge(&registry, "endpoints", "Endpoints believed in."),
+            cold_endpoints: gauge(&registry, "cold_endpoints", "Cold endpoints with a limit."),
             store_watches: counter(&registry, "store_watches_total", "Watches of the store."),
             failed_store_watches: counter(&registry, "store_faults_total", "Watches that failed."),
             store_era: gauge(&registry, "store_era", "Era of the store."),
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -83,6 +83,8 @@
     /// Requests a second that the endpoint accepts from all instances together; `None` if it names
     /// no limit.
     pub rate_limit: Option<RequestRate>,
+    /// How much longer the endpoint stays cold, in milliseconds; `None` if it says nothing of it.
+    pub cold_left: Option<Millis>,
     /// Time for which the endpoint wants no requests from this instance, in milliseconds, if it
     /// refuses the request and states one.
     pub retry_after: Option<Millis>,
--- a/crates/relay/src/endpoint_view.rs
+++ b/crates/relay/src/endpoint_view.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use policy::dispatch::placement::{EndpointInfo, EndpointState, EndpointTarget};
+use policy::dispatch::placement::{EndpointInfo, EndpointState, EndpointTarget, StartPhase};
 use policy::ids::{EndpointId, Millis, PoolId};
 
 /// Time after the store recovers in which an endpoint whose entry is missing may register again, in
@@ -13,6 +13,113 @@
 /// instance may lag behind.
 const DEPARTED_RETENTION: Millis = 60_000;
 
+/// What an endpoint's entry says of its start.
+#[derives::tag]
+#[derive(Default)]
+pub struct StartStatement {
+    /// When the endpoint's process started, on its own clock; `None` if the entry does not say so.
+    pub started_at: Option<u64>,
+    /// How much longer the endpoint stays cold, as of the entry's writing; `None` if the entry says
+    /// nothing of it.
+    pub cold_left: Option<Millis>,
+    /// Hash of the entry: an entry that is read again unchanged states nothing anew.
+    pub entry_hash: u64,
+}
+
+/// Where it was learned how long an endpoint stays cold.
+#[derives::tag]
+pub enum ColdSource {
+    /// The endpoint's entry.
+    Entry,
+    /// An answer of the endpoint.
+    Answer,
+    /// The start of the endpoint, whose entry does not say how long it stays cold.
+    Start,
+}
+
+/// How long an endpoint stays cold, as far as it is known.
+#[derives::tag]
+pub struct ColdTime {
+    /// When the endpoint is warm.
+    pub until: Millis,
+    /// Where that was learned.
+    pub source: ColdSource,
+}
+
+/// What is known of the start of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+struct KnownStart {
+    /// The last statement of its entry.
+    statement: StartStatement,
+    /// What its entries and answers have said since its start; `None` if nothing.
+    stated: Option<ColdTime>,
+    /// When it appeared, if that was during traffic.
+    appeared_at: Option<Millis>,
+    /// Whether no entry has said since its start how long it stays cold.
+    is_unstated: bool,
+}
+
+impl KnownStart {
+    /// The start of an endpoint whose first entry is read at `now`.
+    fn new(statement: StartStatement, traffic: TrafficPhase, now: Millis) -> Self {
+        let mut start = Self {
+            statement,
+            stated: None,
+            appeared_at: (traffic == TrafficPhase::Known).then_some(now),
+            is_unstated: true,
+        };
+        start.apply(statement, now);
+        start
+    }
+
+    /// The same start after an entry is read at `now`. The time that an entry states counts from its
+    /// first reading, and is never shortened: an older entry may be read after a newer one.
+    fn with_statement(mut self, statement: StartStatement, now: Millis) -> Self {
+        if statement != self.statement {
+            self.apply(statement, now);
+        }
+        self
+    }
+
+    fn apply(&mut self, statement: StartStatement, now: Millis) {
+        self.statement = statement;
+        if let Some(left) = statement.cold_left {
+            self.is_unstated = false;
+            self.prolong(now.saturating_add(left), ColdSource::Entry);
+        }
+    }
+
+    /// Lets the endpoint stay cold until a later time.
+    fn prolong(&mut self, until: Millis, source: ColdSource) -> ViewChange {
+        if self.stated.is_some_and(|stated| until <= stated.until) {
+            return ViewChange::Same;
+        }
+        self.stated = Some(ColdTime { until, source });
+        ViewChange::Changed
+    }
+
+    /// How long the endpoint stays cold if its service is cold for `cold_time` after a start.
+    fn cold_time(&self, cold_time: Option<Millis>) -> Option<ColdTime> {
+        let appeared_at = self.appeared_at.filter(|_| self.is_unstated);
+        let assumed = appeared_at.zip(cold_time).map(|(at, time)| ColdTime {
+            until: at.saturating_add(time),
+            source: ColdSource::Start,
+        });
+        assumed.into_iter().chain(self.stated).max()
+    }
+}
+
+/// Whether the endpoints that were there before this instance are known.
+#[derives::tag]
+#[derive(Default)]
+enum TrafficPhase {
+    /// Entries of endpoints that started earlier are still being read.
+    #[default]
+    Unknown,
+    /// Endpoints that appear now start during traffic.
+    Known,
+}
+
 /// Entry of an endpoint.
 #[derive(Debug, Clone)]
 struct KnownEndpoint {
@@ -20,8 +127,8 @@
     info: EndpointInfo,
     /// When the endpoint is removed because its entry is missing; `None` while it is listed.
     missing_until: Option<Millis>,
-    /// When the endpoint's process started, on its own clock; `None` if the entry does not say so.
-    started_at: Option<u64>,
+    /// What is known of its start.
+    start: KnownStart,
     /// Whether the endpoint has said in an answer that it leaves.
     says_leaving: bool,
     /// Whether an entry of the same start has said that it leaves.
@@ -41,7 +148,7 @@
 
     fn past(&self) -> EndpointPast {
         EndpointPast {
-            started_at: self.started_at,
+            start: self.start,
             says_leaving: self.says_leaving,
             is_leaving: self.was_leaving || self.info.state == EndpointState::Leaving,
             is_doubted: self.doubted_until.is_some(),
@@ -52,7 +159,7 @@
 /// What was known of an endpoint before an entry of it is read.
 #[derive(Debug, Clone, Copy)]
 struct EndpointPast {
-    started_at: Option<u64>,
+    start: KnownStart,
     /// Whether the endpoint has said in an answer that it leaves.
     says_leaving: bool,
     /// Whether an entry has said that it leaves.
@@ -91,6 +198,8 @@
 #[derive(Debug, Default)]
 pub struct EndpointView {
     endpoints: BTreeMap<EndpointId, KnownEndpoint>,
+    /// Whether an endpoint that appears has started during traffic.
+    traffic: TrafficPhase,
     /// Removed endpoints.
     departed: BTreeMap<EndpointId, Departure>,
     /// When the store last recovered from an outage.
@@ -123,8 +232,7 @@
     }
 
     /// Adds an endpoint whose process started at `started_at`, on its own clock, or replaces its
-    /// entry. That the endpoint leaves holds until an entry names another start. While entries may be
-    /// of a copy, an endpoint that had left is not used for an entry that may be of an earlier time.
+    /// entry, which says nothing else of its start.
     pub fn put_started(
         &mut self,
         pool: PoolId,
@@ -132,18 +240,42 @@
         started_at: Option<u64>,
         now: Millis,
     ) -> ViewChange {
+        let statement = StartStatement {
+            started_at,
+            ..StartStatement::default()
+        };
+        self.put_entry(pool, info, statement, now)
+    }
+
+    /// Adds an endpoint with what its entry says of its start, or replaces its entry. That the endpoint leaves holds until an entry names another start. While entries may be
+    /// of a copy, an endpoint that had left is not used for an entry that may be of an earlier time.
+    pub fn put_entry(
+        &mut self,
+        pool: PoolId,
+        info: EndpointInfo,
+        statement: StartStatement,
+        now: Millis,
+    ) -> ViewChange {
+        let started_at = statement.started_at;
         let endpoint = info.target.endpoint.clone();
         let departed = self.departed.remove(&endpoint).map(|known| known.past);
         let listed = self.endpoints.get(&endpoint).map(KnownEndpoint::past);
+        let is_listed = listed.is_some();
         let past = listed.or(departed);
-        let past = past.filter(|past| past.started_at == started_at);
+        let past = past.filter(|past| past.start.statement.started_at == started_at);
+        // Without a start, an endpoint that comes back may be a new process.
+        let same_start = past.filter(|_| is_listed || started_at.is_some());
+        let start = match same_start {
+            Some(past) => past.start.with_statement(statement, now),
+            None => KnownStart::new(statement, self.traffic, now),
+        };
         let copied_until = self.copied_until.filter(|until| now < *until);
         let may_be_older = past.is_some_and(|past| past.is_leaving || past.is_doubted);
         let new_entry = KnownEndpoint {
             pool,
             info,
             missing_until: None,
-            started_at,
+            start,
             says_leaving: past.is_some_and(|past| past.says_leaving),
             // Without a start, an entry may be that of a new process.
             was_leaving: started_at.is_some() && past.is_some_and(|past| past.is_leaving),
@@ -153,7 +285,9 @@
             Some(entry)
                 if entry.info == new_entry.info
                     && entry.pool == new_entry.pool
-                    && entry.state() == new_entry.state() =>
+                    && entry.state() == new_entry.state()
+                    && entry.start.stated == new_entry.start.stated
+                    && entry.start.appeared_at == new_entry.start.appeared_at =>
             {
                 *entry = new_entry;
                 ViewChange::Same
@@ -169,6 +303,39 @@
         }
     }
 
+    /// Records that all entries have been read once: endpoints that appear from now on start during
+    /// traffic.
+    pub fn all_read(&mut self) {
+        self.traffic = TrafficPhase::Known;
+    }
+
+    /// Records that an endpoint has said in an answer that it stays cold for `left` milliseconds.
+    pub fn hear_cold(&mut self, endpoint: &EndpointId, left: Millis, now: Millis) -> ViewChange {
+        let until = now.saturating_add(left);
+        match self.endpoints.get_mut(endpoint) {
+            Some(entry) if left > 0 => entry.start.prolong(until, ColdSource::Answer),
+            _ => ViewChange::Same,
+        }
+    }
+
+    /// The endpoints of one pool that are cold at `now`, if one is cold for `cold_time` after its start.
+    /// It counts for endpoints in any state, so that it holds from the first request when they are ready.
+    #[must_use]
+    pub fn cold_in_pool(
+        &self,
+        pool: &PoolId,
+        cold_time: Option<Millis>,
+        now: Millis,
+    ) -> Vec<(EndpointId, ColdTime)> {
+        let entries = self.endpoints.iter();
+        let in_pool = entries.filter(|(_, entry)| entry.pool == *pool);
+        let cold = in_pool.filter_map(|(endpoint, entry)| {
+            let cold_time = entry.start.cold_time(cold_time)?;
+            (now < cold_time.until).then(|| (endpoint.clone(), cold_time))
+        });
+        cold.collect()
+    }
+
     /// Records that an endpoint has said in an answer that it leaves.
     pub fn mark_leaving(&mut self, endpoint: &EndpointId) -> ViewChange {
         match self.endpoints.get_mut(endpoint) {
@@ -309,6 +476,10 @@
         let entries = self.endpoints.values().filter(is_in_pool);
         let info = |entry: &KnownEndpoint| EndpointInfo {
             state: entry.state(),
+            started: entry
+                .start
+                .appeared_at
+                .map_or(StartPhase::Settled, StartPhase::StartedAt),
             ..entry.info.clone()
         };
         entries.map(info).collect()
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -46,7 +46,7 @@
 };
 pub use crate::endpoint_connector::{ConnectError, EndpointConnector, TunnelDirectory};
 pub use crate::endpoint_gate::{EndpointGate, GateRefusal, LeavingListener};
-pub use crate::endpoint_view::{EndpointView, ViewChange};
+pub use crate::endpoint_view::{ColdSource, ColdTime, EndpointView, StartStatement, ViewChange};
 pub use crate::events::{EventSplitter, EventTooLarge, WholeEvent, is_after};
 pub use crate::forwarded_store::{ChangeSource, ForwardedStore};
 pub use crate::placement::{
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -7,6 +7,7 @@
 
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
+use policy::cold_limit::ColdLimit;
 use policy::dispatch::placement::{
     EndpointInfo, InFlightRun, PlacementDecision, PlacementRequest, RunKey, RunReport,
 };
@@ -15,6 +16,8 @@
 use policy::outcome::{Refusal, RefusalReason};
 use policy::poison::Fingerprint;
 use policy::rate_limit::{PermitDecision, RateNotice};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 
@@ -79,8 +82,12 @@
     /// Creates a driver for a dispatcher without pools.
     #[must_use]
     pub fn new(limits: DispatchLimits, clock: BootClock) -> Self {
+        let mut dispatcher = Dispatcher::new(limits);
+        dispatcher
+            .rates_mut()
+            .set_phase(SmallRng::from_os_rng().random());
         Self {
-            dispatcher: RefCell::new(Dispatcher::new(limits)),
+            dispatcher: RefCell::new(dispatcher),
             pending: RefCell::new(HashMap::new()),
             clock,
             wakeup: Notify::new(),
@@ -186,7 +193,14 @@
         dispatcher.rates_mut().request_permit(endpoint, now)
     }
 
-    /// Limits that the dispatcher knows of.
+    /// Sets or ends the limit of a cold endpoint.
+    pub fn set_cold(&self, endpoint: &EndpointId, limit: Option<ColdLimit>) {
+        let now = self.clock.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.rates_mut().set_cold(endpoint, limit, now);
+    }
+
+    /// Limits that endpoints have named to the dispatcher.
     #[must_use]
     pub fn limit_notices(&self) -> Vec<RateNotice> {
         let now = self.clock.now();
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -333,6 +333,7 @@
     if matches_request && answer.status != StatusCode::MISDIRECTED_REQUEST {
         let sent_at = guard.sent_at.get().unwrap_or(0);
         core.heard_limit(&guard.target.endpoint, head.rate_limit, sent_at);
+        core.heard_cold(&guard.target.endpoint, head.cold_left);
     }
     if is_refused {
         if answer.status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -264,6 +264,7 @@
         if matches_request && status != StatusCode::MISDIRECTED_REQUEST {
             self.core
                 .heard_limit(&grant.host.endpoint, head.rate_limit, sent_at);
+            self.core.heard_cold(&grant.host.endpoint, head.cold_left);
         }
         if head.refuses(id, status, answer.connection) {
             if status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use jackdawpoint_relay::{EndpointView, EventSplitter, ViewChange, is_after};
-use policy::dispatch::placement::{EndpointInfo, EndpointState, EndpointTarget};
+use policy::dispatch::placement::{EndpointInfo, EndpointState, EndpointTarget, StartPhase};
 use policy::ids::{DomainId, EndpointId, PoolId};
 
 #[test]
@@ -131,6 +131,7 @@
         },
         domain: DomainId::new("domain"),
         state,
+        started: StartPhase::Settled,
     }
 }
 
--- a/crates/relay/tests/placement_router.rs
+++ b/crates/relay/tests/placement_router.rs
@@ -12,7 +12,7 @@
 use policy::dispatch::engine::EngineProfile;
 use policy::dispatch::placement::{
     EndpointInfo, EndpointState, EndpointTarget, PlacementDecision, PlacementRequest,
-    PlacementScope, RunOutcome, RunReport,
+    PlacementScope, RunOutcome, RunReport, StartPhase,
 };
 use policy::fleet::FleetMember;
 use policy::ids::{AccountId, DomainId, EndpointId, Incarnation, InstanceId, PoolId};
@@ -133,6 +133,7 @@
         },
         domain: DomainId::new("x"),
         state: EndpointState::Ready,
+        started: StartPhase::Settled,
     }
 }
 
--- a/crates/relay/tests/restored_entries.rs
+++ b/crates/relay/tests/restored_entries.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use jackdawpoint_relay::EndpointView;
-use policy::dispatch::placement::{EndpointInfo, EndpointState, EndpointTarget};
+use policy::dispatch::placement::{EndpointInfo, EndpointState, EndpointTarget, StartPhase};
 use policy::ids::{DomainId, EndpointId, PoolId};
 
 /// When the store came back, and a time at which those that live have written again, in milliseconds.
@@ -27,6 +27,7 @@
         },
         domain: DomainId::new("near"),
         state,
+        started: StartPhase::Settled,
     }
 }
 
