--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -47,21 +47,18 @@
             .retain(|entry| list.iter().any(|info| info.target == entry.info.target));
         for info in list {
             let is_same = |entry: &&mut BalancedEndpoint| entry.info.target == info.target;
-            match self.endpoints.iter_mut().find(is_same) {
-                Some(entry) => {
-                    entry.info = info.clone();
-                    entry.health.set_start(info.started);
-                }
-                None => {
-                    let mut health = EndpointHealth::new();
-                    health.set_start(info.started);
-                    self.endpoints.push(BalancedEndpoint {
-                        info: info.clone(),
-                        health,
-                        calls_in_flight: 0,
-                    });
-                }
+            if let Some(entry) = self.endpoints.iter_mut().find(is_same) {
+                entry.info = info.clone();
+                entry.health.set_start(info.started);
+                continue;
             }
+            let mut health = EndpointHealth::new();
+            health.set_start(info.started);
+            self.endpoints.push(BalancedEndpoint {
+                info: info.clone(),
+                health,
+                calls_in_flight: 0,
+            });
         }
     }
 
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -885,9 +885,12 @@
     ];
     for case in cases {
         let mut dispatcher = dispatcher(9);
-        let state = |index: &u8| match case.is_withdrawn && case.cold.contains(index) {
-            true => EndpointState::Leaving,
-            false => EndpointState::Ready,
+        let state = |index: &u8| {
+            if case.is_withdrawn && case.cold.contains(index) {
+                EndpointState::Leaving
+            } else {
+                EndpointState::Ready
+            }
         };
         let list: Vec<EndpointInfo> = (0..9).map(|index| info(index, state(&index))).collect();
         dispatcher.set_endpoints(&pool(), &list);
--- a/crates/relay/tests/cold_entries.rs
+++ b/crates/relay/tests/cold_entries.rs
@@ -69,119 +69,121 @@
     };
 }
 
+const CASES: &[Case] = &[
+    Case {
+        name: "entry of the first snapshot says so",
+        before: &[Step::Entry(Some(1), Some(30_000), 1)],
+        later: &[],
+        cold_time: Some(COLD_TIME),
+        until: Some((30_000, ColdSource::Entry)),
+        started: StartPhase::Settled,
+    },
+    Case {
+        name: "entry of the first snapshot says nothing",
+        before: &[Step::Entry(Some(1), None, 1)],
+        later: &[],
+        cold_time: Some(COLD_TIME),
+        until: None,
+        started: StartPhase::Settled,
+    },
+    Case {
+        name: "read again unchanged",
+        before: &[Step::Entry(Some(1), Some(30_000), 1)],
+        later: &[Step::Entry(Some(1), Some(30_000), 1)],
+        cold_time: Some(COLD_TIME),
+        until: Some((30_000, ColdSource::Entry)),
+        started: StartPhase::Settled,
+    },
+    Case {
+        name: "written again with the same time",
+        before: &[Step::Entry(Some(1), Some(3_000), 1)],
+        later: &[Step::Entry(Some(1), Some(3_000), 2)],
+        cold_time: Some(COLD_TIME),
+        until: Some((13_000, ColdSource::Entry)),
+        started: StartPhase::Settled,
+    },
+    Case {
+        name: "a later entry does not shorten it",
+        before: &[],
+        later: &[
+            Step::Entry(Some(1), Some(9_000), 1),
+            Step::Entry(Some(1), Some(100), 2),
+        ],
+        cold_time: Some(COLD_TIME),
+        until: Some((19_000, ColdSource::Entry)),
+        started: StartPhase::StartedAt(10_000),
+    },
+    Case {
+        name: "appears without a statement",
+        before: &[],
+        later: &[Step::Entry(Some(1), None, 1)],
+        cold_time: Some(COLD_TIME),
+        until: Some((13_000, ColdSource::Start)),
+        started: StartPhase::StartedAt(10_000),
+    },
+    Case {
+        name: "appears and says that it is warm",
+        before: &[],
+        later: &[Step::Entry(Some(1), Some(0), 1)],
+        cold_time: Some(COLD_TIME),
+        until: None,
+        started: StartPhase::StartedAt(10_000),
+    },
+    Case {
+        name: "starts again under its id, without a statement",
+        before: &[Step::Entry(Some(1), Some(0), 1)],
+        later: &[Step::Entry(Some(2), None, 2)],
+        cold_time: Some(COLD_TIME),
+        until: Some((13_000, ColdSource::Start)),
+        started: StartPhase::StartedAt(10_000),
+    },
+    Case {
+        name: "comes back in the same start",
+        before: &[Step::Entry(Some(1), Some(30_000), 1)],
+        later: &[Step::Removed, Step::Entry(Some(1), Some(30_000), 1)],
+        cold_time: Some(COLD_TIME),
+        until: Some((30_000, ColdSource::Entry)),
+        started: StartPhase::Settled,
+    },
+    Case {
+        name: "comes back without a start",
+        before: &[Step::Entry(None, None, 1)],
+        later: &[Step::Removed, Step::Entry(None, None, 1)],
+        cold_time: Some(COLD_TIME),
+        until: Some((14_000, ColdSource::Start)),
+        started: StartPhase::StartedAt(11_000),
+    },
+    Case {
+        name: "no time configured and none stated",
+        before: &[],
+        later: &[Step::Entry(Some(1), None, 1)],
+        cold_time: None,
+        until: None,
+        started: StartPhase::StartedAt(10_000),
+    },
+    Case {
+        name: "answers prolong it and do not end it",
+        before: &[Step::Entry(Some(1), Some(0), 1)],
+        later: &[Step::Answer(5_000), Step::Answer(0)],
+        cold_time: Some(COLD_TIME),
+        until: Some((15_000, ColdSource::Answer)),
+        started: StartPhase::Settled,
+    },
+    Case {
+        name: "turns cold while nothing may be sent to it",
+        before: &[Step::Entry(Some(1), Some(0), 1)],
+        later: &[Step::Leaving, Step::Entry(Some(1), Some(5_000), 2)],
+        cold_time: Some(COLD_TIME),
+        until: Some((16_000, ColdSource::Entry)),
+        started: StartPhase::Settled,
+    },
+];
+
 /// Guards against times that begin anew with an unchanged entry, starts that are not noticed, and
 /// endpoints of the first snapshot that are taken for starting ones.
 #[test]
 fn cold_time_counts_from_the_first_reading_of_a_changed_entry() {
-    use Step::{Answer, Entry, Leaving, Removed};
-    let settled = StartPhase::Settled;
-    let cases = [
-        Case {
-            name: "entry of the first snapshot says so",
-            before: &[Entry(Some(1), Some(30_000), 1)],
-            later: &[],
-            cold_time: Some(COLD_TIME),
-            until: Some((30_000, ColdSource::Entry)),
-            started: settled,
-        },
-        Case {
-            name: "entry of the first snapshot says nothing",
-            before: &[Entry(Some(1), None, 1)],
-            later: &[],
-            cold_time: Some(COLD_TIME),
-            until: None,
-            started: settled,
-        },
-        Case {
-            name: "read again unchanged",
-            before: &[Entry(Some(1), Some(30_000), 1)],
-            later: &[Entry(Some(1), Some(30_000), 1)],
-            cold_time: Some(COLD_TIME),
-            until: Some((30_000, ColdSource::Entry)),
-            started: settled,
-        },
-        Case {
-            name: "written again with the same time",
-            before: &[Entry(Some(1), Some(3_000), 1)],
-            later: &[Entry(Some(1), Some(3_000), 2)],
-            cold_time: Some(COLD_TIME),
-            until: Some((13_000, ColdSource::Entry)),
-            started: settled,
-        },
-        Case {
-            name: "a later entry does not shorten it",
-            before: &[],
-            later: &[Entry(Some(1), Some(9_000), 1), Entry(Some(1), Some(100), 2)],
-            cold_time: Some(COLD_TIME),
-            until: Some((19_000, ColdSource::Entry)),
-            started: StartPhase::StartedAt(10_000),
-        },
-        Case {
-            name: "appears without a statement",
-            before: &[],
-            later: &[Entry(Some(1), None, 1)],
-            cold_time: Some(COLD_TIME),
-            until: Some((13_000, ColdSource::Start)),
-            started: StartPhase::StartedAt(10_000),
-        },
-        Case {
-            name: "appears and says that it is warm",
-            before: &[],
-            later: &[Entry(Some(1), Some(0), 1)],
-            cold_time: Some(COLD_TIME),
-            until: None,
-            started: StartPhase::StartedAt(10_000),
-        },
-        Case {
-            name: "starts again under its id, without a statement",
-            before: &[Entry(Some(1), Some(0), 1)],
-            later: &[Entry(Some(2), None, 2)],
-            cold_time: Some(COLD_TIME),
-            until: Some((13_000, ColdSource::Start)),
-            started: StartPhase::StartedAt(10_000),
-        },
-        Case {
-            name: "comes back in the same start",
-            before: &[Entry(Some(1), Some(30_000), 1)],
-            later: &[Removed, Entry(Some(1), Some(30_000), 1)],
-            cold_time: Some(COLD_TIME),
-            until: Some((30_000, ColdSource::Entry)),
-            started: settled,
-        },
-        Case {
-            name: "comes back without a start",
-            before: &[Entry(None, None, 1)],
-            later: &[Removed, Entry(None, None, 1)],
-            cold_time: Some(COLD_TIME),
-            until: Some((14_000, ColdSource::Start)),
-            started: StartPhase::StartedAt(11_000),
-        },
-        Case {
-            name: "no time configured and none stated",
-            before: &[],
-            later: &[Entry(Some(1), None, 1)],
-            cold_time: None,
-            until: None,
-            started: StartPhase::StartedAt(10_000),
-        },
-        Case {
-            name: "answers prolong it and do not end it",
-            before: &[Entry(Some(1), Some(0), 1)],
-            later: &[Answer(5_000), Answer(0)],
-            cold_time: Some(COLD_TIME),
-            until: Some((15_000, ColdSource::Answer)),
-            started: settled,
-        },
-        Case {
-            name: "turns cold while nothing may be sent to it",
-            before: &[Entry(Some(1), Some(0), 1)],
-            later: &[Leaving, Entry(Some(1), Some(5_000), 2)],
-            cold_time: Some(COLD_TIME),
-            until: Some((16_000, ColdSource::Entry)),
-            started: settled,
-        },
-    ];
-    for case in cases {
+    for case in CASES {
         let mut view = EndpointView::new();
         for step in case.before {
             apply(&mut view, *step, 0);
