--- a/crates/policy/tests/dispatch_overload.rs
+++ b/crates/policy/tests/dispatch_overload.rs
@@ -5,7 +5,7 @@
 use jackdawpoint_policy::dispatch::engine::EngineProfile;
 use jackdawpoint_policy::dispatch::placement::{
     EndpointInfo, EndpointState, EndpointTarget, PlacementDecision, PlacementRequest,
-    PlacementScope, RunKey,
+    PlacementScope, RunKey, StartPhase,
 };
 use jackdawpoint_policy::dispatch::{DispatchLimits, Dispatcher};
 use jackdawpoint_policy::ids::{AccountId, DomainId, EndpointId, Millis, PoolId};
@@ -26,6 +26,7 @@
         },
         domain: DomainId::new(format!("domain-{}", index % 3)),
         state: EndpointState::Ready,
+        started: StartPhase::Settled,
     }
 }
 
--- a/crates/policy/tests/evacuation.rs
+++ b/crates/policy/tests/evacuation.rs
@@ -7,7 +7,7 @@
 use jackdawpoint_policy::dispatch::engine::EngineProfile;
 use jackdawpoint_policy::dispatch::placement::{
     EndpointInfo, EndpointState, EndpointTarget, PlacementDecision, PlacementRequest,
-    PlacementScope, RunKey, RunOutcome, RunReport,
+    PlacementScope, RunKey, RunOutcome, RunReport, StartPhase,
 };
 use jackdawpoint_policy::dispatch::{DispatchLimits, Dispatcher};
 use jackdawpoint_policy::ids::{AccountId, DomainId, EndpointId, Millis, PoolId};
--- a/crates/relay/src/core/mod.rs
+++ b/crates/relay/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! State of one relay: configuration, endpoints, lifecycle phase and the services that request
 //! handling uses.
 
+mod cold;
 mod crashes;
 mod endpoints;
 mod stopping;
@@ -12,6 +13,7 @@
 
 use policy::balance::CallBalancer;
 use policy::catalog::ServiceCatalog;
+use policy::cold_limit::ColdBounds;
 use policy::dispatch::placement::{EndpointTarget, RunOutcome};
 use policy::ids::{DomainId, EndpointId, Millis, PoolId};
 use policy::outcome::RetryReason;
@@ -21,6 +23,7 @@
 use rand::{Rng, SeedableRng};
 use tokio::sync::Notify;
 
+use self::cold::ColdLimits;
 pub(crate) use self::crashes::RunFailure;
 use self::stopping::StopState;
 pub(crate) use self::stopping::{NOT_READY_RETRY_AFTER, RouteTrial, StopAdmission};
@@ -86,6 +89,8 @@
     pub crashes: RefCell<CrashRegistry>,
     /// Time to live of a memory reservation, in milliseconds.
     pub reservation_ttl: Millis,
+    /// What may arrive at a cold endpoint.
+    pub cold_bounds: ColdBounds,
 }
 
 /// Relay of one instance. Runs on a single thread.
@@ -104,6 +109,8 @@
     heard_limits: RefCell<RateTable>,
     /// Evacuated failure domains, as far as they have been logged.
     logged_evacuations: RefCell<BTreeSet<DomainId>>,
+    /// Limits of cold endpoints.
+    cold: RefCell<ColdLimits>,
     last_request_number: Cell<u64>,
     notices_added: Notify,
     random: RefCell<SmallRng>,
@@ -125,6 +132,7 @@
             caller_connections: Rc::default(),
             heard_limits: RefCell::new(RateTable::new()),
             logged_evacuations: RefCell::default(),
+            cold: RefCell::new(ColdLimits::new()),
             last_request_number: Cell::new(0),
             notices_added: Notify::new(),
             random: RefCell::new(SmallRng::from_os_rng()),
@@ -243,6 +251,7 @@
             tokio::time::sleep(MAINTENANCE_PERIOD).await;
             self.update_endpoints(EndpointView::expire);
             self.log_evacuations();
+            self.refresh_cold();
             self.dependencies.connections.expire();
             self.release_statements();
         }
