Await first events of engines that report that they are busy

Cause: a run without a first event was abandoned after three times its expected time plus a second. Under overload, or on an engine that is four times slower than believed, that throws away work that is nearly done, marks the engine unresponsive, closes its connections as silent, and repeats the run elsewhere.

Change: 500 ms before the limit the host is asked for GET /report, on a connection of its own. policy::first_event_wait prolongs the wait by one to two seconds at a time while the engine has work and the wait is not longer than its queue and pace explain. Nobody is told of a silence, and a run that reaches the end of its caller's time that way says nothing about its engine. Without a report, or without work, nothing changes. Answers are shared between the runs of an instance on one engine for 300 ms.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dispatch;
 pub mod duration_estimate;
 pub mod endpoint_path;
+pub mod first_event_wait;
 pub mod fleet;
 pub mod flow;
 pub mod forwarding_budget;
--- a/crates/relay/src/core/mod.rs
+++ b/crates/relay/src/core/mod.rs
@@ -3,6 +3,7 @@
 
 mod crashes;
 mod endpoints;
+mod reports;
 mod stopping;
 
 use std::cell::{Cell, RefCell};
@@ -32,6 +33,7 @@
 use crate::dialect::WireDialect;
 use crate::endpoint_gate::EndpointGate;
 use crate::endpoint_view::EndpointView;
+use crate::engine_reports::{EngineReports, ReportClient};
 use crate::placement::{DispatcherDriver, PlacementClient};
 use crate::request::RelayRequest;
 use crate::reservation::MemoryClient;
@@ -79,6 +81,8 @@
     pub placement: Rc<dyn PlacementClient>,
     /// Reserves and releases memory on engines.
     pub memory: Rc<dyn MemoryClient>,
+    /// Requests reports of engines.
+    pub reports: Rc<dyn ReportClient>,
     /// Name of this incarnation of the instance, unique in the fleet; reservation ids and the names
     /// of runs begin with it.
     pub incarnation_name: String,
@@ -96,6 +100,7 @@
     /// current.
     confirmed_at: Cell<Millis>,
     balancers: RefCell<HashMap<PoolId, CallBalancer>>,
+    engine_reports: EngineReports,
     retries: RefCell<BudgetTable<PoolId>>,
     phase: Cell<RelayPhase>,
     stop: StopState,
@@ -113,6 +118,7 @@
     #[must_use]
     pub fn new(dependencies: RelayDependencies) -> Self {
         Self {
+            engine_reports: EngineReports::new(Rc::clone(&dependencies.reports)),
             dependencies,
             catalog: RefCell::new(None),
             confirmed_at: Cell::new(0),
@@ -235,6 +241,7 @@
             tokio::time::sleep(MAINTENANCE_PERIOD).await;
             self.update_endpoints(EndpointView::expire);
             self.dependencies.connections.expire();
+            self.engine_reports.expire();
             self.release_statements();
         }
     }
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of the relay.
 
+use policy::first_event_wait::WaitDecision;
 use policy::outcome::{RefusalReason, RetryReason, UnfinishedReason};
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
@@ -22,6 +23,7 @@
     refused: IntCounterVec,
     unfinished: IntCounterVec,
     retried: IntCounterVec,
+    engine_reports: IntCounterVec,
     first_event: HistogramVec,
     whole: HistogramVec,
     /// Requests in flight.
@@ -73,6 +75,12 @@
                 "reason",
             ),
             retried: counter_vec(&registry, "retried_total", "Repeated attempts.", "reason"),
+            engine_reports: counter_vec(
+                &registry,
+                "engine_reports_total",
+                "Reports of engines asked for before a run was abandoned, by what followed.",
+                "decision",
+            ),
             first_event: histogram_vec(
                 &registry,
                 "first_event_seconds",
@@ -109,6 +117,11 @@
         for reason in RetryReason::ALL {
             counters.retried.with_label_values(&[reason.code()]);
         }
+        for decision in WaitDecision::ALL {
+            counters
+                .engine_reports
+                .with_label_values(&[decision.code()]);
+        }
         counters
     }
 
@@ -134,6 +147,13 @@
         self.retried.with_label_values(&[reason.code()]).inc();
     }
 
+    /// Counts a decision on a run whose first event is overdue.
+    pub fn engine_report(&self, decision: WaitDecision) {
+        self.engine_reports
+            .with_label_values(&[decision.code()])
+            .inc();
+    }
+
     /// Records the time to the first event.
     pub fn first_event(&self, kind: &str, seconds: f64) {
         self.first_event.with_label_values(&[kind]).observe(seconds);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod endpoint_connector;
 mod endpoint_gate;
 mod endpoint_view;
+mod engine_reports;
 mod events;
 mod forwarded_store;
 mod handler;
@@ -47,6 +48,7 @@
 pub use crate::endpoint_connector::{ConnectError, EndpointConnector, TunnelDirectory};
 pub use crate::endpoint_gate::{EndpointGate, GateRefusal, LeavingListener};
 pub use crate::endpoint_view::{EndpointView, ViewChange};
+pub use crate::engine_reports::ReportClient;
 pub use crate::events::{EventSplitter, EventTooLarge, WholeEvent, is_after};
 pub use crate::forwarded_store::{ChangeSource, ForwardedStore};
 pub use crate::placement::{
--- a/crates/relay/src/stream/host_watch.rs
+++ b/crates/relay/src/stream/host_watch.rs
@@ -1,12 +1,12 @@
 //! Notices that the host of a silent run is lost, so that nobody waits for its answer and memory that
 //! is reserved for it is released.
 
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::time::Duration;
 
 use futures::future::{Either, select};
 use policy::dispatch::placement::EndpointTarget;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 
 use crate::core::RelayCore;
 use crate::endpoint_connector::ConnectError;
@@ -35,28 +35,59 @@
     first_check: Duration,
     answer: F,
 ) -> Result<F::Output, HostSilence> {
-    let deadline = Instant::now() + time_limit;
-    let mut answer = pin!(answer);
-    let mut pause = first_check;
-    let mut failed_checks = 0;
-    loop {
-        let left = deadline.saturating_duration_since(Instant::now());
-        if let Ok(answered) = timeout(pause.min(left), &mut answer).await {
-            return Ok(answered);
-        }
-        if left <= pause {
-            return Err(HostSilence::TimedOut);
+    let mut watch = HostWatch::new(core, host, first_check);
+    watch.wait(Instant::now() + time_limit, pin!(answer)).await
+}
+
+/// The checks of a host during one silence.
+pub(super) struct HostWatch<'a> {
+    core: &'a RelayCore,
+    host: &'a EndpointTarget,
+    next_check: Instant,
+    /// Number of checks in a row that have failed.
+    failed_checks: usize,
+}
+
+impl<'a> HostWatch<'a> {
+    /// Begins to watch `host`, which is checked for the first time after `first_check`.
+    pub(super) fn new(
+        core: &'a RelayCore,
+        host: &'a EndpointTarget,
+        first_check: Duration,
+    ) -> Self {
+        Self {
+            core,
+            host,
+            next_check: Instant::now() + first_check,
+            failed_checks: 0,
         }
-        let check = pin!(is_reached(core, host));
-        failed_checks = match select(&mut answer, check).await {
-            Either::Left((answered, _)) => return Ok(answered),
-            Either::Right((true, _)) => 0,
-            Either::Right((false, _)) => failed_checks + 1,
-        };
-        if failed_checks >= FAILED_CHECKS || core.is_lost(host) {
-            return Err(HostSilence::HostLost);
+    }
+
+    /// Waits for `answer` of the host until `deadline`.
+    pub(super) async fn wait<F: Future>(
+        &mut self,
+        deadline: Instant,
+        mut answer: Pin<&mut F>,
+    ) -> Result<F::Output, HostSilence> {
+        loop {
+            let until = self.next_check.min(deadline);
+            if let Ok(answered) = timeout_at(until, answer.as_mut()).await {
+                return Ok(answered);
+            }
+            if deadline <= self.next_check {
+                return Err(HostSilence::TimedOut);
+            }
+            let check = pin!(is_reached(self.core, self.host));
+            self.failed_checks = match select(answer.as_mut(), check).await {
+                Either::Left((answered, _)) => return Ok(answered),
+                Either::Right((true, _)) => 0,
+                Either::Right((false, _)) => self.failed_checks + 1,
+            };
+            if self.failed_checks >= FAILED_CHECKS || self.core.is_lost(self.host) {
+                return Err(HostSilence::HostLost);
+            }
+            self.next_check = Instant::now() + CHECK_INTERVAL;
         }
-        pause = CHECK_INTERVAL;
     }
 }
 
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -2,6 +2,7 @@
 //! stream is resumed on another one.
 
 mod event_stream;
+mod first_event;
 mod host_watch;
 mod placing;
 mod run_error;
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -7,12 +7,14 @@
 use ntex::http::{HeaderMap, StatusCode};
 use policy::catalog::RepeatRule;
 use policy::dispatch::placement::{EndpointTarget, PlacementGrant, RunOutcome};
+use policy::first_event_wait::{FirstEventWait, RepeatOption};
 use policy::ids::{EndpointId, Millis};
 use policy::outcome::RetryReason;
 use tokio::time::Instant;
 
 use super::event_stream::EventStream;
-use super::host_watch::{HostSilence, wait_for_host};
+use super::first_event::{FirstEvent, MissingEvent, ReportUse};
+use super::host_watch::HostSilence;
 use super::run_error::{RequestDelivery, RunError};
 use super::run_guard::RunGuard;
 use super::{StreamHead, StreamRun, StreamSession};
@@ -22,10 +24,9 @@
 use crate::dialect::{AnswerSignature, ForwardHead, ForwardHelper};
 use crate::reservation::MemoryReservation;
 
-/// Slack of the first-event timeout, in milliseconds: a run without a first event is abandoned
-/// after three times the expected time plus this slack, the longest pass of an engine that meets
-/// its pause targets.
-const FIRST_EVENT_SLACK: Millis = 1_000;
+/// Time after the expected first event at which the host is checked for the first time, in
+/// milliseconds: the longest pass of an engine that meets its pause targets.
+const HOST_CHECK_SLACK: Millis = 1_000;
 
 /// Time after which the host of a run with reserved memory is checked for the first time.
 const RESERVED_HOST_CHECK: Duration = Duration::from_secs(1);
@@ -55,7 +56,6 @@
         trace.expected.set(grant.expected_first);
         self.tries += 1;
         self.log_shared_placement(grant);
-        let timeout = self.first_event_timeout(grant);
         let reserved = self.reserve(&guard, grant).await;
         let reservation = match reserved {
             Ok(reservation) => reservation,
@@ -77,15 +77,38 @@
         // Memory that is reserved must not outlive a lost host for long.
         let first_check = match &reservation {
             Some(_) => RESERVED_HOST_CHECK,
-            None => Duration::from_millis(grant.expected_first + FIRST_EVENT_SLACK),
+            None => Duration::from_millis(grant.expected_first + HOST_CHECK_SLACK),
         };
         let core = Rc::clone(&self.core);
+        let first_event = FirstEvent {
+            core: &core,
+            request: &request,
+            grant,
+            wait: self.first_event_wait(grant),
+            first_check,
+            reports: match self.run {
+                Some(_) => ReportUse::Omitted,
+                None => ReportUse::Requested,
+            },
+        };
         let opening = self.open_stream(grant, reservation.as_ref());
         let sent_at = Instant::now();
-        let opened = wait_for_host(&core, &grant.host, timeout, first_check, opening).await;
-        let is_lost = matches!(opened, Err(HostSilence::HostLost));
-        let silent = || RunError::new(RunOutcome::Silent, RetryReason::StreamSilent);
-        let opened = opened.unwrap_or_else(|_| Err(silent()));
+        let opened = first_event.arrival(opening).await;
+        let is_lost = matches!(opened, Err(MissingEvent::Silent(HostSilence::HostLost)));
+        let opened = match opened {
+            Err(MissingEvent::HostBusy) => {
+                // The guard reports a run that nobody waits for any more, which says nothing about
+                // the host.
+                return Err(RunError::new(
+                    RunOutcome::CallerLeft,
+                    RetryReason::StreamSilent,
+                ));
+            }
+            Err(MissingEvent::Silent(_)) => {
+                Err(RunError::new(RunOutcome::Silent, RetryReason::StreamSilent))
+            }
+            Ok(opened) => opened,
+        };
         match opened {
             Ok((stream, head)) => {
                 self.core.placement().first_event(guard.number);
@@ -180,18 +203,18 @@
         })
     }
 
-    /// Longest wait for the first event.
-    pub(super) fn first_event_timeout(&self, grant: &PlacementGrant) -> Duration {
+    /// The wait for the first event of a run that is sent now.
+    pub(super) fn first_event_wait(&self, grant: &PlacementGrant) -> FirstEventWait {
         let route = &self.request.admitted.route;
         let left = self.request.time_left(self.core.now());
-        let timeout = grant.expected_first * 3 + FIRST_EVENT_SLACK;
         let has_retry_left =
             self.runs + 1 < route.attempts && route.repeat == RepeatRule::Repeatable;
-        Duration::from_millis(if has_retry_left {
-            timeout.min(left)
+        let repeat = if has_retry_left {
+            RepeatOption::Repeatable
         } else {
-            left
-        })
+            RepeatOption::LastRun
+        };
+        FirstEventWait::new(grant.expected_first, left, repeat)
     }
 
     pub(super) async fn open_stream(
