--- a/crates/policy/tests/evacuation.rs
+++ b/crates/policy/tests/evacuation.rs
@@ -40,6 +40,7 @@
             } else {
                 EndpointState::Ready
             },
+            started: StartPhase::Settled,
         }
     };
     indices.map(info).collect()
--- a/crates/relay/src/core/mod.rs
+++ b/crates/relay/src/core/mod.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod crashes;
 mod endpoints;
+mod reports;
 mod stopping;
 
 use std::cell::{Cell, RefCell};
@@ -35,6 +36,7 @@
 use crate::dialect::WireDialect;
 use crate::endpoint_gate::EndpointGate;
 use crate::endpoint_view::EndpointView;
+use crate::engine_reports::{EngineReports, ReportClient};
 use crate::placement::{DispatcherDriver, PlacementClient};
 use crate::request::RelayRequest;
 use crate::reservation::MemoryClient;
@@ -82,6 +84,8 @@
     pub placement: Rc<dyn PlacementClient>,
     /// Reserves and releases memory on engines.
     pub memory: Rc<dyn MemoryClient>,
+    /// Requests reports of engines.
+    pub reports: Rc<dyn ReportClient>,
     /// Name of this incarnation of the instance, unique in the fleet; reservation ids and the names
     /// of runs begin with it.
     pub incarnation_name: String,
@@ -101,6 +105,7 @@
     /// current.
     confirmed_at: Cell<Millis>,
     balancers: RefCell<HashMap<PoolId, CallBalancer>>,
+    engine_reports: EngineReports,
     retries: RefCell<BudgetTable<PoolId>>,
     phase: Cell<RelayPhase>,
     stop: StopState,
@@ -122,6 +127,7 @@
     #[must_use]
     pub fn new(dependencies: RelayDependencies) -> Self {
         Self {
+            engine_reports: EngineReports::new(Rc::clone(&dependencies.reports)),
             dependencies,
             catalog: RefCell::new(None),
             confirmed_at: Cell::new(0),
@@ -253,6 +259,7 @@
             self.log_evacuations();
             self.refresh_cold();
             self.dependencies.connections.expire();
+            self.engine_reports.expire();
             self.release_statements();
         }
     }
--- a/crates/relay/tests/evacuation.rs
+++ b/crates/relay/tests/evacuation.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use jackdawpoint_relay::{EndpointView, ViewChange};
-use policy::dispatch::placement::{EndpointInfo, EndpointState, EndpointTarget};
+use policy::dispatch::placement::{EndpointInfo, EndpointState, EndpointTarget, StartPhase};
 use policy::ids::{DomainId, EndpointId, Millis, PoolId};
 
 /// When the store comes back from a copy, and until when evacuations that the copy lacks hold, in
@@ -73,6 +73,7 @@
                 },
                 domain: domain(in_domain),
                 state,
+                started: StartPhase::Settled,
             };
             view.put_started(PoolId::new("pool"), info, Some(start), 0)
         }
