--- a/crates/policy/src/cold_limit.rs
+++ b/crates/policy/src/cold_limit.rs
@@ -151,7 +151,7 @@
         self.excess = 0.0;
     }
 
-    /// Requests a second that this dispatcher may grant.
+    /// Requests a millisecond that this dispatcher may grant.
     pub(crate) fn per_ms(&self, share: f64) -> f64 {
         1.0 / interval_ms(self.limit.rate, share)
     }
