Check the host of an abandoned silent run once more

Cause: the checks of a silent host ended with its run. An engine that had gone dark under the run was then found to be lost only if another request happened to be sent there, or when its entry expired, so that crashes were attributed seconds late or not at all. The prompt part that darkens engines was blamed late at times ("4 of 34 requests reached engines after 10 crashes", bound 3).

Change: when a run is abandoned as silent before its first event, its host is checked once more, beside the repetition. An endpoint that nobody reaches is lost, as it is for a request that cannot connect.

--- a/crates/relay/src/stream/host_watch.rs
+++ b/crates/relay/src/stream/host_watch.rs
@@ -2,6 +2,7 @@
 //! is reserved for it is released.
 
 use std::pin::{Pin, pin};
+use std::rc::Rc;
 use std::time::Duration;
 
 use futures::future::{Either, select};
@@ -91,6 +92,17 @@
     }
 }
 
+/// Checks the host of a run that was abandoned as silent once more, beside the run's repetition: without
+/// that its loss is noticed only if another request happens to go there, or when its entry expires.
+pub(super) fn check_abandoned(core: &Rc<RelayCore>, host: &EndpointTarget) {
+    let (core, host) = (Rc::clone(core), host.clone());
+    tokio::task::spawn_local(async move {
+        if !is_reached(&core, &host).await {
+            core.endpoint_gone(&host.endpoint);
+        }
+    });
+}
+
 /// Whether the host accepts a connection, or may do so on a path that this instance does not have.
 async fn is_reached(core: &RelayCore, host: &EndpointTarget) -> bool {
     let opened = core.connections().connector().connect(host).await;
--- a/crates/relay/src/stream/running.rs
+++ b/crates/relay/src/stream/running.rs
@@ -14,7 +14,7 @@
 
 use super::event_stream::EventStream;
 use super::first_event::{FirstEvent, MissingEvent, ReportUse};
-use super::host_watch::HostSilence;
+use super::host_watch::{HostSilence, check_abandoned};
 use super::run_error::{RequestDelivery, RunError};
 use super::run_guard::RunGuard;
 use super::{StreamHead, StreamRun, StreamSession};
@@ -122,12 +122,15 @@
                 Ok((run, head))
             }
             Err(error) => {
-                if error.report.outcome == RunOutcome::Silent {
+                let is_silent = error.report.outcome == RunOutcome::Silent;
+                if is_silent {
                     self.silence_noticed(&grant.host, sent_at);
                 }
                 self.report_failure(&guard, &grant.host.endpoint, &error);
                 if is_lost {
                     self.core.endpoint_gone(&grant.host.endpoint);
+                } else if is_silent {
+                    check_abandoned(&core, &grant.host);
                 }
                 Err(error)
             }
