--- a/crates/model/src/experiment.rs
+++ b/crates/model/src/experiment.rs
@@ -93,6 +93,8 @@
     now: f64,
     records: Vec<RequestRecord>,
     runs: HashMap<usize, ActiveRun>,
+    /// Number of runs that each engine hosts.
+    hosted: Vec<usize>,
     is_round_scheduled: bool,
 }
 
@@ -124,6 +126,7 @@
             now: 0.0,
             records: Vec::new(),
             runs: HashMap::new(),
+            hosted: vec![0; load.engines.count],
             is_round_scheduled: false,
         };
         experiment.draw_arrivals(seed);
@@ -294,6 +297,7 @@
             last_event: self.now,
         };
         self.runs.insert(record, run);
+        self.hosted[host] += 1;
         self.start_if_idle(host);
         for helper in helpers {
             self.start_if_idle(helper);
@@ -308,7 +312,7 @@
     }
 
     fn start_pass(&mut self, engine: usize, at: f64) {
-        let slowdown = self.load.slowdown(engine, at / 1_000.0);
+        let slowdown = self.load.slowdown(engine, self.hosted[engine], at / 1_000.0);
         self.engines[engine].start_pass(&self.load.engines, slowdown, at);
         if let Some(end) = self.engines[engine].pass_end {
             self.push(end, SimEvent::PassEnd(engine));
@@ -369,6 +373,7 @@
         let Some(run) = self.runs.remove(&record) else {
             return;
         };
+        self.hosted[run.host] -= 1;
         self.records[run.record].result = result;
         self.records[run.record].ended_at = self.now;
         let outcome = match result {
--- a/crates/model/src/load.rs
+++ b/crates/model/src/load.rs
@@ -1,5 +1,6 @@
 //! Load files: the requests of a simulation, their arrival rates and the engines that serve them.
 
+use policy::cast::usize_to_f64;
 use policy::dispatch::engine::EngineProfile;
 use policy::ids::Millis;
 use serde::{Deserialize, Serialize};
@@ -23,6 +24,9 @@
     /// Periods in which some engines are slow.
     #[serde(default)]
     pub slow: Vec<SlowPeriod>,
+    /// Groups of engines that differ from the cost model.
+    #[serde(default)]
+    pub uneven: Vec<UnevenGroup>,
 }
 
 /// Engines that share one cost model.
@@ -135,6 +139,40 @@
     pub pace: f64,
 }
 
+/// Engines that are slower than the cost model says, at any load or from a number of runs on.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UnevenGroup {
+    /// Index of the first engine.
+    pub first: usize,
+    /// Number of engines.
+    pub count: usize,
+    /// Start, in seconds.
+    #[serde(default)]
+    pub from: f64,
+    /// End (exclusive), in seconds; without it, the engines stay as they are.
+    #[serde(default)]
+    pub until: Option<f64>,
+    /// Time of their work at a low load, as a multiple of the cost model.
+    pub pace: f64,
+    /// Number of hosted runs up to which they keep that pace.
+    pub rises_from: usize,
+    /// Part of the time at a low load that each further hosted run adds.
+    pub per_run: f64,
+}
+
+impl UnevenGroup {
+    fn slowdown(&self, runs: usize) -> f64 {
+        let excess = usize_to_f64(runs.saturating_sub(self.rises_from));
+        self.pace * (1.0 + excess * self.per_run)
+    }
+
+    fn applies(&self, engine: usize, seconds: f64) -> bool {
+        let is_member = engine >= self.first && engine - self.first < self.count;
+        is_member && self.from <= seconds && self.until.is_none_or(|until| seconds < until)
+    }
+}
+
 impl LoadFile {
     /// Parses a load from JSON text and checks that its members are consistent.
     ///
@@ -178,17 +216,19 @@
         factors.product()
     }
 
-    /// Slowdown of an engine at a time, as a multiple of the cost model: the largest one of the
-    /// periods in progress, and at least 1.
+    /// Slowdown of an engine that hosts `runs` at a time, as a multiple of the cost model: the largest
+    /// one of the periods in progress and of the uneven groups that it is in, and at least 1.
     #[must_use]
-    pub fn slowdown(&self, engine: usize, seconds: f64) -> f64 {
+    pub fn slowdown(&self, engine: usize, runs: usize, seconds: f64) -> f64 {
         let is_active = |period: &&SlowPeriod| {
             period.from <= seconds && seconds < period.until && engine < period.engines
         };
-        self.slow
-            .iter()
-            .filter(is_active)
+        let periods = self.slow.iter().filter(is_active);
+        let groups = self.uneven.iter();
+        let uneven = groups.filter(|group| group.applies(engine, seconds));
+        periods
             .map(|period| period.pace)
+            .chain(uneven.map(|group| group.slowdown(runs)))
             .fold(1.0, f64::max)
     }
 }
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -92,7 +92,7 @@
             }
         }
         for info in list {
-            pool_dispatcher.add_endpoint(info);
+            pool_dispatcher.add_endpoint(info, &self.limits);
         }
     }
 
--- a/crates/policy/src/dispatch/endpoint.rs
+++ b/crates/policy/src/dispatch/endpoint.rs
@@ -85,7 +85,7 @@
         let decode_pass_ms = if decoding_runs == 0 {
             0.0
         } else {
-            profile.pass_ms(decoding_runs, context) * self.health.slowdown(now)
+            profile.pass_ms(decoding_runs, context) * self.slowdown(now)
         };
         EngineSnapshot {
             now: u64_to_f64(now),
@@ -108,14 +108,20 @@
         self.queue.estimate(share, self.snapshot(profile, now))
     }
 
-    /// Time of a pass without prefill once all hosted runs decode, in milliseconds; zero while no
-    /// run is hosted.
-    pub(super) fn pass_ms(&self, profile: &EngineProfile, now: Millis) -> f64 {
+    /// Estimated time of work on the endpoint with the runs that it hosts, as a multiple of the cost
+    /// model.
+    pub(super) fn slowdown(&self, now: Millis) -> f64 {
+        self.health.slowdown_at(self.hosted.len(), now)
+    }
+
+    /// Time of a pass without prefill once all hosted runs decode, by the cost model, in
+    /// milliseconds; zero while no run is hosted.
+    pub(super) fn pass_ms(&self, profile: &EngineProfile) -> f64 {
         if self.hosted.is_empty() {
             return 0.0;
         }
         let context = self.hosted.iter().map(|run| run.context_tokens).sum();
-        profile.pass_ms(self.hosted.len(), context) * self.health.slowdown(now)
+        profile.pass_ms(self.hosted.len(), context)
     }
 
     /// The smallest pause target of the hosted runs; `None` if there are none.
@@ -132,7 +138,7 @@
     /// Queues a part whose prefill time is given by the cost model, without slowdown.
     pub(super) fn start_prefill(&mut self, profile: &EngineProfile, part: QueuedPart, now: Millis) {
         let snapshot = self.snapshot(profile, now);
-        let remaining_ms = part.remaining_ms * self.health.slowdown(now);
+        let remaining_ms = part.remaining_ms * self.slowdown(now);
         self.queue.push(
             QueuedPart {
                 remaining_ms,
--- a/crates/policy/src/dispatch/health.rs
+++ b/crates/policy/src/dispatch/health.rs
@@ -1,6 +1,7 @@
 //! Health of an endpoint as its runs show it: outlier ejection and slowdown.
 
 use crate::ids::Millis;
+use crate::learned_capacity::{ENGINE_HALF_LIFE, LearnedCapacity, SlowdownCurve};
 
 /// Shortest ejection of an endpoint after failures, in milliseconds; it doubles with each further
 /// failure in a row.
@@ -45,6 +46,8 @@
     ejected_until: Millis,
     slowdown: f64,
     slowdown_at: Millis,
+    /// Slowdown by load; `None` if it is not learned.
+    learned: Option<LearnedCapacity>,
 }
 
 impl Default for EndpointHealth {
@@ -62,9 +65,17 @@
             ejected_until: 0,
             slowdown: 1.0,
             slowdown_at: 0,
+            learned: None,
         }
     }
 
+    /// Lets the slowdown depend on the number of hosted runs.
+    #[must_use]
+    pub fn with_learned_capacity(mut self) -> Self {
+        self.learned = Some(LearnedCapacity::new(ENGINE_HALF_LIFE));
+        self
+    }
+
     /// Whether the endpoint is ejected at `now`, that is, should get no new runs.
     #[must_use]
     pub fn is_ejected(&self, now: Millis) -> bool {
@@ -88,6 +99,22 @@
         1.0 + (self.slowdown - 1.0) / f64::from(2_u32.saturating_pow(half_lives.min(16)))
     }
 
+    /// Estimated time of work on the endpoint while it hosts `runs`, as a multiple of the published
+    /// cost.
+    #[must_use]
+    pub fn slowdown_at(&self, runs: usize, now: Millis) -> f64 {
+        match self.curve(now) {
+            Some(curve) => curve.at(runs),
+            None => self.slowdown(now),
+        }
+    }
+
+    /// The slowdown by the number of hosted runs; `None` if it is not learned.
+    #[must_use]
+    pub fn curve(&self, now: Millis) -> Option<SlowdownCurve> {
+        self.learned.as_ref().map(|learned| learned.curve(now))
+    }
+
     /// Records a run that succeeded, which resets the count of consecutive failures.
     pub fn succeeded(&mut self) {
         self.failures = 0;
@@ -119,9 +146,13 @@
     }
 
     /// Updates the slowdown with a run whose first event took `actual` where the published cost
-    /// says `expected`, both in milliseconds.
-    pub fn record_latency(&mut self, expected: f64, actual: f64, now: Millis) {
-        let ratio = (actual / expected.max(1.0)).clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
+    /// says `expected`, both in milliseconds, while the endpoint hosted `runs`.
+    pub fn record_latency(&mut self, runs: usize, expected: f64, actual: f64, now: Millis) {
+        let ratio = actual / expected.max(1.0);
+        if let Some(learned) = &mut self.learned {
+            learned.record(runs, ratio, now);
+        }
+        let ratio = ratio.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
         let slowdown = self.slowdown(now);
         self.slowdown = slowdown + (ratio - slowdown) * SLOWDOWN_SMOOTHING;
         self.slowdown_at = now;
--- a/crates/policy/src/dispatch/limits.rs
+++ b/crates/policy/src/dispatch/limits.rs
@@ -100,6 +100,8 @@
     pub quarantine_crashes: usize,
     /// Time for which a quarantined prompt is refused, in milliseconds.
     pub quarantine_time: Millis,
+    /// Whether the slowdown of an engine is learned by the number of runs that it hosts.
+    pub learned_capacity: bool,
     /// Retry budget of each pool.
     pub retries: BudgetLimits,
 }
@@ -138,6 +140,7 @@
             shortest_return: 300,
             quarantine_crashes: 3,
             quarantine_time: 30_000,
+            learned_capacity: false,
             retries: BudgetLimits {
                 earned_per_first: 120,
                 saved_retries: 20,
--- a/crates/policy/src/dispatch/pool_dispatcher.rs
+++ b/crates/policy/src/dispatch/pool_dispatcher.rs
@@ -89,12 +89,15 @@
 }
 
 impl PoolDispatcher {
-    pub(super) fn add_endpoint(&mut self, info: &EndpointInfo) {
+    pub(super) fn add_endpoint(&mut self, info: &EndpointInfo, limits: &DispatchLimits) {
         let is_known = |endpoint: &EndpointLoad| endpoint.info.target == info.target;
         if self.endpoints.iter().any(is_known) {
             return;
         }
-        let added = EndpointLoad::new(info.clone());
+        let mut added = EndpointLoad::new(info.clone());
+        if limits.learned_capacity {
+            added.health = added.health.with_learned_capacity();
+        }
         let is_reusable = |endpoint: &EndpointLoad| endpoint.is_idle() && !endpoint.is_ready();
         match self.endpoints.iter().position(is_reusable) {
             Some(index) => self.endpoints[index] = added,
@@ -117,9 +120,11 @@
             if position == 0 {
                 endpoint.start_decode(&self.profile, key, now);
             }
+            let hosted = endpoint.hosted.len();
+            let expected_ms = run.first_event_ms / run.slowdown;
             endpoint
                 .health
-                .record_latency(run.first_event_ms / run.slowdown, elapsed_ms, now);
+                .record_latency(hosted, expected_ms, elapsed_ms, now);
         }
         let host = &self.endpoints[*run.engines.first()?];
         Some((host.info.target.endpoint.clone(), run.placed_at))
@@ -465,7 +470,7 @@
             endpoint.start_prefill(&self.profile, part, now);
             engines.push(helper.index);
         }
-        let slowdown_of = |index: &usize| self.endpoints[*index].health.slowdown(now);
+        let slowdown_of = |index: &usize| self.endpoints[*index].slowdown(now);
         let slowest = engines.iter().map(slowdown_of).fold(1.0, f64::max);
         let run = PlacedRun {
             slowdown: slowest,
--- a/crates/policy/src/dispatch/round.rs
+++ b/crates/policy/src/dispatch/round.rs
@@ -16,13 +16,21 @@
 /// Values of one engine that the cost of a placement depends on.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct EngineState {
+    /// Slowdown with the runs that the engine hosts.
     pub(super) slowdown: f64,
+    /// Slowdown with one more hosted run.
+    pub(super) next_slowdown: f64,
+    /// Concurrent runs that the engine takes before its times rise; unbounded if that is not
+    /// learned.
+    pub(super) capacity: usize,
     /// Estimate for a whole prompt that is queued now.
     pub(super) whole_estimate: PartEstimate,
     /// Estimate for a part of a prompt that is queued now.
     pub(super) part_estimate: PartEstimate,
     /// Time of a pass without prefill once all hosted runs decode, in milliseconds.
     pub(super) pass_ms: f64,
+    /// The same time at the slowdown with one more hosted run.
+    pub(super) next_pass_ms: f64,
     /// Number of hosted runs with a tight pause target.
     pub(super) tight_runs: usize,
     /// The smallest pause target of the hosted runs; `None` if there are none.
@@ -38,7 +46,20 @@
         limits: &DispatchLimits,
         now: Millis,
     ) -> Self {
-        let pass_ms = endpoint.pass_ms(profile, now);
+        let hosted = endpoint.hosted.len();
+        let (slowdown, next_slowdown, capacity) = match endpoint.health.curve(now) {
+            Some(curve) => (
+                curve.at(hosted),
+                curve.at(hosted + 1),
+                curve.capacity(profile.slots),
+            ),
+            None => {
+                let slowdown = endpoint.health.slowdown(now);
+                (slowdown, slowdown, usize::MAX)
+            }
+        };
+        let published_pass_ms = endpoint.pass_ms(profile);
+        let pass_ms = published_pass_ms * slowdown;
         let estimate = |share| {
             let mut part_estimate = endpoint.estimate(profile, share, now);
             if part_estimate.mode == EngineMode::PrefillOnly && pass_ms > 0.0 {
@@ -49,10 +70,13 @@
         };
         let total = u64_to_f64(profile.memory_tokens) * limits.memory_share;
         Self {
-            slowdown: endpoint.health.slowdown(now),
+            slowdown,
+            next_slowdown,
+            capacity,
             whole_estimate: estimate(PrefillShare::Whole),
             part_estimate: estimate(PrefillShare::Part),
             pass_ms,
+            next_pass_ms: published_pass_ms * next_slowdown,
             tight_runs: endpoint.tight_run_count(limits),
             tightest_pause: endpoint.tightest_pause_aim(),
             free_tokens: f64_to_u64(total).saturating_sub(endpoint.memory_used()),
--- a/crates/policy/src/dispatch/search.rs
+++ b/crates/policy/src/dispatch/search.rs
@@ -80,12 +80,31 @@
         }
     }
 
+    /// Slowdown of the engine with the part: the only engine of a prompt hosts it, and most engines
+    /// that share one do not.
+    fn slowdown(&self, share: PrefillShare) -> f64 {
+        match share {
+            PrefillShare::Whole => self.state.next_slowdown,
+            PrefillShare::Part => self.state.slowdown,
+        }
+    }
+
     fn part_end_ms(&self, share: PrefillShare, part_ms: f64) -> f64 {
-        self.estimate(share).delay_ms + part_ms * self.state.slowdown
+        self.estimate(share).delay_ms + part_ms * self.slowdown(share)
     }
 
     fn fits(&self, share: PrefillShare, part_ms: f64) -> bool {
-        part_ms * self.state.slowdown <= self.prefill_budget_ms.min(self.estimate(share).slack_ms)
+        let longer_pass_ms = match share {
+            PrefillShare::Whole => self.longer_pass_ms(),
+            PrefillShare::Part => 0.0,
+        };
+        let budget_ms = self.prefill_budget_ms - longer_pass_ms;
+        part_ms * self.slowdown(share) <= budget_ms.min(self.estimate(share).slack_ms)
+    }
+
+    /// Time by which one more hosted run lengthens the passes beyond the cost model.
+    fn longer_pass_ms(&self) -> f64 {
+        self.state.next_pass_ms - self.state.pass_ms
     }
 
     /// Whether the engine can decode a run whose events should come at most `pause_ms` apart.
@@ -95,7 +114,7 @@
     fn can_decode(&self, share: PrefillShare, pause_ms: f64) -> bool {
         let defers_pending =
             share == PrefillShare::Part && self.state.part_estimate.mode == EngineMode::PrefillOnly;
-        !defers_pending || self.state.part_estimate.pending_ms + self.state.pass_ms <= pause_ms
+        !defers_pending || self.state.part_estimate.pending_ms + self.state.next_pass_ms <= pause_ms
     }
 }
 
@@ -122,7 +141,7 @@
         if host.part_end_ms(share, part_ms) >= slowest {
             return 0.0;
         }
-        host.state.pass_ms / 2.0
+        host.state.next_pass_ms / 2.0
     }
 }
 
@@ -398,11 +417,12 @@
         if candidate.state.tight_runs == 0 {
             return limits.open_ms;
         }
-        if candidate.state.tight_runs < limits.packed_writers {
-            let vacant = usize_to_f64(limits.packed_writers - candidate.state.tight_runs);
+        let packed_writers = limits.packed_writers.min(candidate.state.capacity);
+        if candidate.state.tight_runs < packed_writers {
+            let vacant = usize_to_f64(packed_writers - candidate.state.tight_runs);
             return limits.gather_ms * vacant / usize_to_f64(limits.packed_writers);
         }
-        let excess = (candidate.state.tight_runs + 1).saturating_sub(limits.packed_writers);
+        let excess = (candidate.state.tight_runs + 1).saturating_sub(packed_writers);
         usize_to_f64(excess) * limits.open_ms / 4.0
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod forwarding_budget;
 pub mod frame;
 pub mod ids;
+pub mod learned_capacity;
 pub mod leaving;
 pub mod member;
 pub mod notice_times;
