Learn the load that each endpoint takes: engines, plain calls, settings, metrics (trial)

The dispatcher had one slowdown for an engine whatever its load, and calls went to whichever endpoint had the fewest in flight. With learned_capacity the slowdown is learned by the number of runs, for plain endpoints from the durations of this instance's calls.

--- a/crates/model/src/experiment.rs
+++ b/crates/model/src/experiment.rs
@@ -312,7 +312,9 @@
     }
 
     fn start_pass(&mut self, engine: usize, at: f64) {
-        let slowdown = self.load.slowdown(engine, self.hosted[engine], at / 1_000.0);
+        let slowdown = self
+            .load
+            .slowdown(engine, self.hosted[engine], at / 1_000.0);
         self.engines[engine].start_pass(&self.load.engines, slowdown, at);
         if let Some(end) = self.engines[engine].pass_end {
             self.push(end, SimEvent::PassEnd(engine));
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -3,21 +3,66 @@
 //! An instance sees only its own calls. The expected load is few calls, with an endpoint that is
 //! dead, slow or full from time to time. A call goes to the endpoint with the fewest calls in
 //! flight from this instance, with preference for the instance's own failure domain; endpoints that
-//! failed are ejected for a time.
+//! failed are ejected for a time. With learned capacity an endpoint whose recent calls took longer
+//! than those of the others counts as busier, the more so the more calls it has in flight.
 
-use crate::cast::usize_to_f64;
+use crate::cast::{u64_to_f64, usize_to_f64};
 use crate::dispatch::health::{EndpointHealth, FailureKind};
 use crate::dispatch::placement::{EndpointInfo, EndpointState, EndpointTarget, RunOutcome};
 use crate::ids::{DomainId, EndpointId, Millis};
+use crate::learned_capacity::{CapacityLevel, LearnedCapacity};
 
 /// Added to the calls in flight of an endpoint in another failure domain when costs are compared.
 const CROSS_DOMAIN_COST: f64 = 1.5;
 
+/// Half-life of the slowdown of an endpoint without news, in milliseconds. An instance with a call in
+/// seven seconds sends one to each of six endpoints in about forty, so that a shorter memory would be
+/// empty at most calls.
+const CALL_HALF_LIFE: Millis = 30_000;
+
+/// Slowdown up to which an endpoint is as good as the others: calls differ in what they ask for.
+const EVEN_SLOWDOWN: f64 = 1.5;
+
+/// Weight of a new call in the mean duration of an endpoint's calls.
+const DURATION_SMOOTHING: f64 = 0.3;
+
+/// Slowdown with a single call from which an endpoint's share counts as half.
+const HALF_SHARE_SLOWDOWN: f64 = 2.0;
+
+/// Durations of the calls to one endpoint.
+#[derive(Debug)]
+struct CallDurations {
+    slowdown: LearnedCapacity,
+    /// Mean duration, in milliseconds; `None` before the first call.
+    mean_ms: Option<f64>,
+    level: CapacityLevel,
+}
+
+impl CallDurations {
+    fn new() -> Self {
+        Self {
+            slowdown: LearnedCapacity::new(CALL_HALF_LIFE),
+            mean_ms: None,
+            level: CapacityLevel::Ample,
+        }
+    }
+
+    fn slowdown_at(&self, calls: usize, now: Millis) -> f64 {
+        let slowdown = self.slowdown.curve(now).at(calls);
+        if slowdown <= EVEN_SLOWDOWN {
+            1.0
+        } else {
+            slowdown
+        }
+    }
+}
+
 #[derive(Debug)]
 struct BalancedEndpoint {
     info: EndpointInfo,
     health: EndpointHealth,
     calls_in_flight: usize,
+    durations: CallDurations,
 }
 
 /// Balances one instance's calls over the endpoints of one plain service.
@@ -25,6 +70,7 @@
 pub struct CallBalancer {
     domain: DomainId,
     endpoints: Vec<BalancedEndpoint>,
+    is_learning: bool,
 }
 
 impl CallBalancer {
@@ -34,9 +80,17 @@
         Self {
             domain,
             endpoints: Vec::new(),
+            is_learning: false,
         }
     }
 
+    /// Lets the durations of calls decide, too, if `is_learning`.
+    #[must_use]
+    pub fn with_learned_capacity(mut self, is_learning: bool) -> Self {
+        self.is_learning = is_learning;
+        self
+    }
+
     /// Replaces the endpoints; health and calls in flight of those that stay are preserved.
     pub fn set_endpoints(&mut self, list: &[EndpointInfo]) {
         self.endpoints
@@ -49,6 +103,7 @@
                     info: info.clone(),
                     health: EndpointHealth::new(),
                     calls_in_flight: 0,
+                    durations: CallDurations::new(),
                 }),
             }
         }
@@ -78,13 +133,23 @@
         let rotated = candidates[start..].iter().chain(&candidates[..start]);
         let best = rotated
             .copied()
-            .min_by(|left, right| self.cost(*left).total_cmp(&self.cost(*right)))?;
+            .min_by(|left, right| self.cost(*left, now).total_cmp(&self.cost(*right, now)))?;
         self.endpoints[best].calls_in_flight += 1;
         Some(self.endpoints[best].info.target.clone())
     }
 
-    /// Records the end of a call on an endpoint.
-    pub fn finish(&mut self, endpoint: &EndpointId, outcome: RunOutcome, now: Millis) {
+    /// Records the end of a call on an endpoint, and how long it took; no `duration` if the call was
+    /// not sent.
+    pub fn finish(
+        &mut self,
+        endpoint: &EndpointId,
+        outcome: RunOutcome,
+        duration: Option<Millis>,
+        now: Millis,
+    ) {
+        if let (true, Some(duration)) = (self.is_learning, duration) {
+            self.record_duration(endpoint, outcome, u64_to_f64(duration), now);
+        }
         let is_same = |entry: &&mut BalancedEndpoint| entry.info.target.endpoint == *endpoint;
         let Some(entry) = self.endpoints.iter_mut().find(is_same) else {
             return;
@@ -102,9 +167,81 @@
         }
     }
 
-    fn cost(&self, index: usize) -> f64 {
+    /// Learns from an answered call, or from one whose answer was awaited in vain.
+    fn record_duration(
+        &mut self,
+        endpoint: &EndpointId,
+        outcome: RunOutcome,
+        duration_ms: f64,
+        now: Millis,
+    ) {
+        if !matches!(outcome, RunOutcome::Served | RunOutcome::Silent) {
+            return;
+        }
+        let usual_ms = self.usual_duration_ms();
+        let is_same = |entry: &&mut BalancedEndpoint| entry.info.target.endpoint == *endpoint;
+        let Some(entry) = self.endpoints.iter_mut().find(is_same) else {
+            return;
+        };
+        let durations = &mut entry.durations;
+        let mean_ms = durations.mean_ms.unwrap_or(duration_ms);
+        durations.mean_ms = Some(mean_ms + (duration_ms - mean_ms) * DURATION_SMOOTHING);
+        if let Some(usual_ms) = usual_ms {
+            let ratio = duration_ms / usual_ms.max(1.0);
+            durations.slowdown.record(entry.calls_in_flight, ratio, now);
+        }
+    }
+
+    /// Lower median of the mean durations of the endpoints' calls, in milliseconds; `None` before the
+    /// first call. Slow endpoints do not move it while they are fewer than half.
+    fn usual_duration_ms(&self) -> Option<f64> {
+        let means = self.endpoints.iter();
+        let mut means: Vec<f64> = means.filter_map(|entry| entry.durations.mean_ms).collect();
+        means.sort_by(f64::total_cmp);
+        means.get(means.len().saturating_sub(1) / 2).copied()
+    }
+
+    /// Number of endpoints whose calls take longer than those of the others.
+    #[must_use]
+    pub fn reduced_endpoints(&self, now: Millis) -> usize {
+        let is_reduced = |entry: &&BalancedEndpoint| {
+            self.is_learning && entry.durations.slowdown_at(1, now) > 1.0
+        };
+        self.endpoints.iter().filter(is_reduced).count()
+    }
+
+    /// Endpoints whose share has fallen below half, or risen above it, since the last call.
+    pub fn take_capacity_changes(&mut self, now: Millis) -> Vec<(EndpointId, CapacityLevel)> {
+        if !self.is_learning {
+            return Vec::new();
+        }
+        let mut changes = Vec::new();
+        for entry in &mut self.endpoints {
+            let durations = &mut entry.durations;
+            let slowdown = durations.slowdown_at(1, now);
+            let level = if slowdown >= HALF_SHARE_SLOWDOWN {
+                CapacityLevel::Low
+            } else if slowdown <= 1.0 {
+                CapacityLevel::Ample
+            } else {
+                durations.level
+            };
+            if level != durations.level {
+                durations.level = level;
+                changes.push((entry.info.target.endpoint.clone(), level));
+            }
+        }
+        changes
+    }
+
+    fn cost(&self, index: usize, now: Millis) -> f64 {
         let entry = &self.endpoints[index];
-        let calls_in_flight = usize_to_f64(entry.calls_in_flight);
+        let mut calls_in_flight = usize_to_f64(entry.calls_in_flight);
+        if self.is_learning {
+            // The time that the call would take, in calls of an endpoint that is not slow.
+            let slowdown = entry.durations.slowdown_at(entry.calls_in_flight + 1, now);
+            calls_in_flight = (calls_in_flight + 1.0) * slowdown - 1.0;
+        }
         if entry.info.domain == self.domain {
             calls_in_flight
         } else {
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -13,12 +13,28 @@
 use super::queued_request::QueuedRequest;
 use super::short_queue::ShortQueueGauge;
 use crate::cast::f64_to_u64;
-use crate::ids::{Millis, PoolId};
+use crate::ids::{EndpointId, Millis, PoolId};
+use crate::learned_capacity::CapacityLevel;
 use crate::outcome::{Refusal, RefusalReason};
 use crate::poison::{CrashReport, PoisonStatus, PoisonTable};
 use crate::rate_limit::RateTable;
 use crate::retry::{RetryBudget, RetryDecision};
 
+/// An endpoint whose learned capacity has crossed half of its slots.
+#[derives::value]
+pub struct CapacityChange {
+    /// Pool of the endpoint.
+    pub pool: PoolId,
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Level of the capacity now.
+    pub level: CapacityLevel,
+    /// Concurrent runs that the endpoint takes before its times rise.
+    pub capacity: usize,
+    /// Runs that it hosts now.
+    pub hosted: usize,
+}
+
 /// Exact counts of the runs on the engines of each pool, and the queued placement requests.
 ///
 /// Invariant: every run is counted on each of its engines until it is finished or its owner is
@@ -265,6 +281,44 @@
         }
     }
 
+    /// Endpoints whose learned capacity has crossed half of their slots since the last call.
+    pub fn take_capacity_changes(&mut self, now: Millis) -> Vec<CapacityChange> {
+        let mut changes = Vec::new();
+        if !self.limits.learned_capacity {
+            return changes;
+        }
+        for (pool, pool_dispatcher) in &mut self.pools {
+            let slots = pool_dispatcher.profile.slots;
+            for endpoint in &mut pool_dispatcher.endpoints {
+                let capacity = endpoint.capacity(slots, now);
+                let level = endpoint.level.after(capacity, slots);
+                if level != endpoint.level {
+                    endpoint.level = level;
+                    changes.push(CapacityChange {
+                        pool: pool.clone(),
+                        endpoint: endpoint.info.target.endpoint.clone(),
+                        level,
+                        capacity,
+                        hosted: endpoint.hosted.len(),
+                    });
+                }
+            }
+        }
+        changes
+    }
+
+    /// Number of endpoints of each pool whose learned capacity is below all their slots.
+    #[must_use]
+    pub fn reduced_endpoints(&self, now: Millis) -> Vec<(PoolId, usize)> {
+        let count = |(pool, pool_dispatcher): (&PoolId, &PoolDispatcher)| {
+            let slots = pool_dispatcher.profile.slots;
+            let endpoints = pool_dispatcher.endpoints.iter();
+            let reduced = endpoints.filter(|endpoint| endpoint.capacity(slots, now) < slots);
+            (pool.clone(), reduced.count())
+        };
+        self.pools.iter().map(count).collect()
+    }
+
     fn forget_refused(&mut self, decisions: &[(RunKey, PlacementDecision)]) {
         for (key, decision) in decisions {
             if let PlacementDecision::Refused(_) = decision {
--- a/crates/policy/src/dispatch/endpoint.rs
+++ b/crates/policy/src/dispatch/endpoint.rs
@@ -7,6 +7,7 @@
 use super::prefill_queue::{EngineSnapshot, PartEstimate, PrefillQueue, PrefillShare, QueuedPart};
 use crate::cast::u64_to_f64;
 use crate::ids::Millis;
+use crate::learned_capacity::CapacityLevel;
 
 /// A run whose answer the endpoint decodes.
 #[derive(Debug, Clone)]
@@ -43,6 +44,8 @@
     pub(super) helped: Vec<HelpedRun>,
     /// Prompts and parts of prompts that the endpoint has yet to prefill.
     queue: PrefillQueue,
+    /// Level of the learned capacity when it was last reported.
+    pub(super) level: CapacityLevel,
 }
 
 impl EndpointLoad {
@@ -53,6 +56,7 @@
             hosted: Vec::new(),
             helped: Vec::new(),
             queue: PrefillQueue::default(),
+            level: CapacityLevel::Ample,
         }
     }
 
@@ -114,6 +118,13 @@
         self.health.slowdown_at(self.hosted.len(), now)
     }
 
+    /// Concurrent runs that the endpoint takes before its times rise; all slots if that is not
+    /// learned.
+    pub(super) fn capacity(&self, slots: usize, now: Millis) -> usize {
+        let curve = self.health.curve(now);
+        curve.map_or(slots, |curve| curve.capacity(slots))
+    }
+
     /// Time of a pass without prefill once all hosted runs decode, by the cost model, in
     /// milliseconds; zero while no run is hosted.
     pub(super) fn pass_ms(&self, profile: &EngineProfile) -> f64 {
--- a/crates/policy/src/dispatch/health.rs
+++ b/crates/policy/src/dispatch/health.rs
@@ -1,7 +1,7 @@
 //! Health of an endpoint as its runs show it: outlier ejection and slowdown.
 
 use crate::ids::Millis;
-use crate::learned_capacity::{ENGINE_HALF_LIFE, LearnedCapacity, SlowdownCurve};
+use crate::learned_capacity::{ENGINE_HALF_LIFE, LearnedCapacity, RISE, SlowdownCurve};
 
 /// Shortest ejection of an endpoint after failures, in milliseconds; it doubles with each further
 /// failure in a row.
@@ -101,11 +101,15 @@
 
     /// Estimated time of work on the endpoint while it hosts `runs`, as a multiple of the published
     /// cost.
+    ///
+    /// The mean over all loads is the least, since it also covers what the cost model leaves out:
+    /// without it, the worth on fleets without slow engines fell by 0.025.
     #[must_use]
     pub fn slowdown_at(&self, runs: usize, now: Millis) -> f64 {
-        match self.curve(now) {
-            Some(curve) => curve.at(runs),
-            None => self.slowdown(now),
+        let slowdown = self.slowdown(now);
+        match self.curve(now).map(|curve| curve.at(runs)) {
+            Some(learned) if learned > RISE => learned.max(slowdown),
+            _ => slowdown,
         }
     }
 
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -19,6 +19,6 @@
 mod search;
 mod short_queue;
 
-pub use dispatcher::Dispatcher;
+pub use dispatcher::{CapacityChange, Dispatcher};
 pub use limits::DispatchLimits;
 pub use pool_dispatcher::DispatchWork;
--- a/crates/policy/src/dispatch/round.rs
+++ b/crates/policy/src/dispatch/round.rs
@@ -47,17 +47,10 @@
         now: Millis,
     ) -> Self {
         let hosted = endpoint.hosted.len();
-        let (slowdown, next_slowdown, capacity) = match endpoint.health.curve(now) {
-            Some(curve) => (
-                curve.at(hosted),
-                curve.at(hosted + 1),
-                curve.capacity(profile.slots),
-            ),
-            None => {
-                let slowdown = endpoint.health.slowdown(now);
-                (slowdown, slowdown, usize::MAX)
-            }
-        };
+        let slowdown = endpoint.slowdown(now);
+        let next_slowdown = endpoint.health.slowdown_at(hosted + 1, now);
+        let curve = endpoint.health.curve(now);
+        let capacity = curve.map_or(usize::MAX, |curve| curve.capacity(profile.slots));
         let published_pass_ms = endpoint.pass_ms(profile);
         let pass_ms = published_pass_ms * slowdown;
         let estimate = |share| {
--- a/crates/policy/src/learned_capacity.rs
+++ b/crates/policy/src/learned_capacity.rs
@@ -17,24 +17,24 @@
 /// Minimum and maximum of a measured slowdown.
 const SLOWDOWN_RANGE: (f64, f64) = (0.9, 8.0);
 
-/// Weight of a new measurement. With the median of three it takes three measurements to follow a
-/// change by more than half, about two seconds at two first events a second.
+/// Weight of a new measurement. As three have to agree, it takes four to follow most of a rise, about
+/// two seconds at two first events a second.
 const SMOOTHING: f64 = 0.5;
 
 /// Half-life of an engine's slowdown above one without news, in milliseconds: an engine that was
 /// slow is tried again after a few seconds.
 pub const ENGINE_HALF_LIFE: Millis = 4_000;
 
-/// Slowdown, relative to that with a single run, above which the times count as risen. Measured
-/// times of an engine that follows its published cost vary by about a quarter.
-const RISE: f64 = 1.3;
+/// Slowdown, relative to that with a single run, above which the times count as risen. Times of an
+/// engine that follows its published cost vary by about a quarter.
+pub const RISE: f64 = 1.3;
 
 /// Slowdown for one number of runs.
 #[derive(Debug, Clone)]
 struct LoadCell {
     slowdown: f64,
     updated_at: Millis,
-    /// The two measurements before the next one; the current slowdown stands for missing ones.
+    /// The two measurements before the next one; the known slowdown stands for missing ones.
     recent: [Option<f64>; 2],
 }
 
@@ -55,13 +55,16 @@
         1.0 + (self.slowdown - 1.0) * (-age / u64_to_f64(half_life)).exp2()
     }
 
-    /// Median of the new measurement and the two before it, so that a single outlier has no effect.
+    /// The slowdown that the new measurement and the two before it show: the least of the three if
+    /// all are above the known one, their median if that is below it. A single outlier has no
+    /// effect. The median upwards cost 0.012 of the worth on a fleet without slow engines (small
+    /// fleet, 4 seeds): queues make single first events late, and hardly ever early.
     fn filter(&mut self, measured: f64, known: f64) -> f64 {
         let [first, second] = self.recent.map(|recent| recent.unwrap_or(known));
         self.recent = [self.recent[1], Some(measured)];
-        let least = first.min(second);
-        let most = first.max(second);
-        measured.clamp(least, most)
+        let (least, most) = (first.min(second), first.max(second));
+        let median = measured.clamp(least, most);
+        known.clamp(least.min(measured), median)
     }
 
     fn approach(&mut self, target: f64, known: f64, now: Millis) {
--- a/crates/policy/tests/catalog.rs
+++ b/crates/policy/tests/catalog.rs
@@ -239,12 +239,12 @@
     let first = balancer
         .start(&[], 0.0, 0)
         .expect("two endpoints are ready");
-    balancer.finish(&first.endpoint, RunOutcome::NotConnected, 1);
+    balancer.finish(&first.endpoint, RunOutcome::NotConnected, None, 1);
     let second = balancer
         .start(&[], 0.0, 2)
         .expect("one endpoint is healthy");
     assert_ne!(first.endpoint, second.endpoint);
-    balancer.finish(&second.endpoint, RunOutcome::NotConnected, 3);
+    balancer.finish(&second.endpoint, RunOutcome::NotConnected, None, 3);
     assert!(
         balancer.start(&[], 0.0, 4).is_some(),
         "all endpoints are ejected, so one of them is tried"
--- a/crates/relay/src/core/endpoints.rs
+++ b/crates/relay/src/core/endpoints.rs
@@ -59,9 +59,10 @@
                 continue;
             }
             let mut balancers = self.balancers.borrow_mut();
-            let balancer = balancers
-                .entry(service.service.clone())
-                .or_insert_with(|| CallBalancer::new(self.dependencies.domain.clone()));
+            let balancer = balancers.entry(service.service.clone()).or_insert_with(|| {
+                CallBalancer::new(self.dependencies.domain.clone())
+                    .with_learned_capacity(self.dependencies.learned_capacity)
+            });
             balancer.set_endpoints(&list);
         }
     }
--- a/crates/relay/src/core/mod.rs
+++ b/crates/relay/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! State of one relay: configuration, endpoints, lifecycle phase and the services that request
 //! handling uses.
 
+mod capacity;
 mod crashes;
 mod endpoints;
 mod stopping;
@@ -86,6 +87,8 @@
     pub crashes: RefCell<CrashRegistry>,
     /// Time to live of a memory reservation, in milliseconds.
     pub reservation_ttl: Millis,
+    /// Whether durations of calls decide where calls to plain services go.
+    pub learned_capacity: bool,
 }
 
 /// Relay of one instance. Runs on a single thread.
@@ -156,6 +159,7 @@
         let opened_tunnels = i64::try_from(connector.opened_tunnels()).unwrap_or(i64::MAX);
         self.counters.opened_tunnels.set(opened_tunnels);
         self.counters.is_cut_off.set(connector.is_cut_off().into());
+        self.count_reduced_endpoints();
         self.counters.render()
     }
 
@@ -236,6 +240,7 @@
             self.update_endpoints(EndpointView::expire);
             self.dependencies.connections.expire();
             self.release_statements();
+            self.log_capacity_changes();
         }
     }
 
@@ -297,9 +302,16 @@
             .start(&excluded, draw, self.now())
     }
 
-    pub(crate) fn end_call(&self, service: &PoolId, endpoint: &EndpointId, outcome: RunOutcome) {
+    pub(crate) fn end_call(
+        &self,
+        service: &PoolId,
+        endpoint: &EndpointId,
+        outcome: RunOutcome,
+        sent_at: Option<Millis>,
+    ) {
+        let duration = sent_at.map(|sent_at| self.now().saturating_sub(sent_at));
         if let Some(balancer) = self.balancers.borrow_mut().get_mut(service) {
-            balancer.finish(endpoint, outcome, self.now());
+            balancer.finish(endpoint, outcome, duration, self.now());
         }
     }
 
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -2,8 +2,8 @@
 
 use policy::outcome::{RefusalReason, RetryReason, UnfinishedReason};
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -44,6 +44,7 @@
     pub hosted_tunnels: IntCounter,
     /// 1 while this instance is cut off from the endpoints.
     pub is_cut_off: IntGauge,
+    reduced_endpoints: IntGaugeVec,
     /// Log records dropped by the logger.
     pub dropped_records: IntGauge,
 }
@@ -97,6 +98,12 @@
                 "Tunnels opened for others.",
             ),
             is_cut_off: gauge(&registry, "cut_off", "Whether the endpoints are cut off."),
+            reduced_endpoints: gauge_vec(
+                &registry,
+                "reduced_endpoints",
+                "Endpoints whose learned capacity is below full.",
+                "pool",
+            ),
             dropped_records: gauge(&registry, "dropped_log_records", "Log records dropped."),
             registry,
         };
@@ -134,6 +141,12 @@
         self.retried.with_label_values(&[reason.code()]).inc();
     }
 
+    /// Sets the number of endpoints of a pool whose learned capacity is below full.
+    pub fn set_reduced_endpoints(&self, pool: &str, count: usize) {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.reduced_endpoints.with_label_values(&[pool]).set(count);
+    }
+
     /// Records the time to the first event.
     pub fn first_event(&self, kind: &str, seconds: f64) {
         self.first_event.with_label_values(&[kind]).observe(seconds);
@@ -169,6 +182,15 @@
     vector
 }
 
+fn gauge_vec(registry: &Registry, metric: &str, help: &str, label: &str) -> IntGaugeVec {
+    let vector =
+        IntGaugeVec::new(Opts::new(name(metric), help), &[label]).expect("the name is valid");
+    registry
+        .register(Box::new(vector.clone()))
+        .expect("names are unique");
+    vector
+}
+
 fn histogram_vec(registry: &Registry, metric: &str, help: &str) -> HistogramVec {
     let opts = HistogramOpts::new(name(metric), help).buckets(LATENCY_BUCKETS.to_vec());
     let vector = HistogramVec::new(opts, &["kind"]).expect("the name is valid");
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -10,7 +10,7 @@
 use policy::dispatch::placement::{
     EndpointInfo, InFlightRun, PlacementDecision, PlacementRequest, RunKey, RunReport,
 };
-use policy::dispatch::{DispatchLimits, Dispatcher};
+use policy::dispatch::{CapacityChange, DispatchLimits, Dispatcher};
 use policy::ids::{EndpointId, Millis, PoolId};
 use policy::outcome::{Refusal, RefusalReason};
 use policy::poison::Fingerprint;
@@ -199,6 +199,20 @@
         dispatcher.rates_mut().set_share(decided_for, instances);
     }
 
+    /// Endpoints whose learned capacity has crossed half of their slots since the last call.
+    #[must_use]
+    pub fn take_capacity_changes(&self) -> Vec<CapacityChange> {
+        let now = self.clock.now();
+        self.dispatcher.borrow_mut().take_capacity_changes(now)
+    }
+
+    /// Number of endpoints of each pool whose learned capacity is below all their slots.
+    #[must_use]
+    pub fn reduced_endpoints(&self) -> Vec<(PoolId, usize)> {
+        let now = self.clock.now();
+        self.dispatcher.borrow().reduced_endpoints(now)
+    }
+
     /// Replaces the endpoints of a pool.
     pub fn set_endpoints(&self, pool: &PoolId, list: &[EndpointInfo]) {
         self.update(|dispatcher| dispatcher.set_endpoints(pool, list));
--- a/crates/relay/src/plain_call.rs
+++ b/crates/relay/src/plain_call.rs
@@ -86,8 +86,12 @@
             self.core
                 .run_abandoned(&self.request, endpoint, sent_at, RunProgress::default());
         }
-        self.core
-            .end_call(service, &self.target.endpoint, self.outcome.get());
+        self.core.end_call(
+            service,
+            &self.target.endpoint,
+            self.outcome.get(),
+            self.sent_at.get(),
+        );
     }
 }
 
