--- a/crates/policy/src/dispatch/health.rs
+++ b/crates/policy/src/dispatch/health.rs
@@ -2,6 +2,7 @@
 
 use super::placement::StartPhase;
 use crate::ids::Millis;
+use crate::learned_capacity::{ENGINE_HALF_LIFE, EVEN_SLOWDOWN, LearnedCapacity, SlowdownCurve};
 use crate::slow_start::SlowStart;
 
 /// Shortest ejection of an endpoint after failures, in milliseconds; it doubles with each further
@@ -48,6 +49,8 @@
     slowdown: f64,
     slowdown_at: Millis,
     start: SlowStart,
+    /// Slowdown by load; `None` if it is not learned.
+    learned: Option<LearnedCapacity>,
 }
 
 impl Default for EndpointHealth {
@@ -66,9 +69,17 @@
             slowdown: 1.0,
             slowdown_at: 0,
             start: SlowStart::default(),
+            learned: None,
         }
     }
 
+    /// Lets the slowdown depend on the number of hosted runs.
+    #[must_use]
+    pub fn with_learned_capacity(mut self) -> Self {
+        self.learned = Some(LearnedCapacity::new(ENGINE_HALF_LIFE));
+        self
+    }
+
     /// Whether the endpoint is ejected at `now`, that is, should get no new runs.
     #[must_use]
     pub fn is_ejected(&self, now: Millis) -> bool {
@@ -125,6 +136,30 @@
         1.0 + (self.slowdown - 1.0) / f64::from(2_u32.saturating_pow(half_lives.min(16)))
     }
 
+    /// Estimated time of work on the endpoint while it hosts `runs`, as a multiple of the published
+    /// cost.
+    ///
+    /// The mean over all loads remains as a factor, of what the load does not explain. It also covers
+    /// what the cost model leaves out.
+    #[must_use]
+    pub fn slowdown_at(&self, runs: usize, now: Millis) -> f64 {
+        self.slowdown(now) * self.load_slowdown(runs, now)
+    }
+
+    /// The part of the slowdown that the number of hosted runs explains; one if it is not learned.
+    fn load_slowdown(&self, runs: usize, now: Millis) -> f64 {
+        let learned = self.curve(now).map(|curve| curve.at(runs));
+        learned
+            .filter(|slowdown| *slowdown > EVEN_SLOWDOWN)
+            .unwrap_or(1.0)
+    }
+
+    /// The slowdown by the number of hosted runs; `None` if it is not learned.
+    #[must_use]
+    pub fn curve(&self, now: Millis) -> Option<SlowdownCurve> {
+        self.learned.as_ref().map(|learned| learned.curve(now))
+    }
+
     /// Records a run that succeeded, which resets the count of consecutive failures.
     pub fn succeeded(&mut self) {
         self.failures = 0;
@@ -156,9 +191,14 @@
     }
 
     /// Updates the slowdown with a run whose first event took `actual` where the published cost
-    /// says `expected`, both in milliseconds.
-    pub fn record_latency(&mut self, expected: f64, actual: f64, now: Millis) {
-        let ratio = (actual / expected.max(1.0)).clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
+    /// says `expected`, both in milliseconds, while the endpoint hosted `runs`.
+    pub fn record_latency(&mut self, runs: usize, expected: f64, actual: f64, now: Millis) {
+        let ratio = actual / expected.max(1.0);
+        if let Some(learned) = &mut self.learned {
+            learned.record(runs, ratio, now);
+        }
+        let unexplained = ratio / self.load_slowdown(runs, now);
+        let ratio = unexplained.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
         let slowdown = self.measured_slowdown(now);
         self.slowdown = slowdown + (ratio - slowdown) * SLOWDOWN_SMOOTHING;
         self.slowdown_at = now;
--- a/crates/policy/tests/catalog.rs
+++ b/crates/policy/tests/catalog.rs
@@ -242,12 +242,12 @@
     let first = balancer
         .start(&[], 0.0, 0)
         .expect("two endpoints are ready");
-    balancer.finish(&first.endpoint, RunOutcome::NotConnected, 1);
+    balancer.finish(&first.endpoint, RunOutcome::NotConnected, None, 1);
     let second = balancer
         .start(&[], 0.0, 2)
         .expect("one endpoint is healthy");
     assert_ne!(first.endpoint, second.endpoint);
-    balancer.finish(&second.endpoint, RunOutcome::NotConnected, 3);
+    balancer.finish(&second.endpoint, RunOutcome::NotConnected, None, 3);
     assert!(
         balancer.start(&[], 0.0, 4).is_some(),
         "all endpoints are ejected, so one of them is tried"
@@ -347,7 +347,7 @@
         for number in 0..1_000 {
             let draw = (f64::from(number) * 0.618_034).fract();
             let target = balancer.start(&[], draw, case.now).expect("one is ready");
-            balancer.finish(&target.endpoint, RunOutcome::Served, case.now);
+            balancer.finish(&target.endpoint, RunOutcome::Served, None, case.now);
             calls += u32::from(target.endpoint.as_str() == "endpoint-1");
         }
         assert!(case.share.contains(&calls), "{}: {calls}", case.name);
--- a/crates/policy/tests/evacuation.rs
+++ b/crates/policy/tests/evacuation.rs
@@ -330,11 +330,11 @@
         let other = balancer.start(&[], 0.0, now).expect("one is ready");
         assert_eq!(other.endpoint.as_str(), "engine-0");
         // It is ejected, and still the only one that may get calls.
-        balancer.finish(&other.endpoint, RunOutcome::NotConnected, now);
+        balancer.finish(&other.endpoint, RunOutcome::NotConnected, None, now);
     }
     let excluded = [EndpointId::new("engine-0")];
     assert_eq!(balancer.start(&excluded, 0.0, 5), None);
-    balancer.finish(&own.endpoint, RunOutcome::Silent, 6);
+    balancer.finish(&own.endpoint, RunOutcome::Silent, None, 6);
     balancer.set_endpoints(&endpoints(0..2, &["even", "odd"]));
     assert_eq!(balancer.start(&[], 0.0, 7), None);
     balancer.set_endpoints(&endpoints(0..2, &[]));
--- a/crates/relay/src/core/mod.rs
+++ b/crates/relay/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! State of one relay: configuration, endpoints, lifecycle phase and the services that request
 //! handling uses.
 
+mod capacity;
 mod cold;
 mod crashes;
 mod endpoints;
@@ -95,6 +96,8 @@
     pub reservation_ttl: Millis,
     /// What may arrive at a cold endpoint.
     pub cold_bounds: ColdBounds,
+    /// Whether durations of calls decide where calls to plain services go.
+    pub learned_capacity: bool,
 }
 
 /// Relay of one instance. Runs on a single thread.
@@ -178,6 +181,7 @@
         self.counters.evacuated_domains.set(evacuated);
         let refusals = i64::try_from(self.gate().evacuation_refusals()).unwrap_or(i64::MAX);
         self.counters.evacuation_refusals.set(refusals);
+        self.count_reduced_endpoints();
         self.counters.render()
     }
 
@@ -261,6 +265,7 @@
             self.dependencies.connections.expire();
             self.engine_reports.expire();
             self.release_statements();
+            self.log_capacity_changes();
         }
     }
 
@@ -322,9 +327,16 @@
             .start(&excluded, draw, self.now())
     }
 
-    pub(crate) fn end_call(&self, service: &PoolId, endpoint: &EndpointId, outcome: RunOutcome) {
+    pub(crate) fn end_call(
+        &self,
+        service: &PoolId,
+        endpoint: &EndpointId,
+        outcome: RunOutcome,
+        sent_at: Option<Millis>,
+    ) {
+        let duration = sent_at.map(|sent_at| self.now().saturating_sub(sent_at));
         if let Some(balancer) = self.balancers.borrow_mut().get_mut(service) {
-            balancer.finish(endpoint, outcome, self.now());
+            balancer.finish(endpoint, outcome, duration, self.now());
         }
     }
 
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -3,8 +3,8 @@
 use policy::first_event_wait::WaitDecision;
 use policy::outcome::{RefusalReason, RetryReason, UnfinishedReason};
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -52,6 +52,7 @@
     pub evacuated_domains: IntGauge,
     /// Requests held back because of an evacuation.
     pub evacuation_refusals: IntGauge,
+    reduced_endpoints: IntGaugeVec,
     /// Log records dropped by the logger.
     pub dropped_records: IntGauge,
 }
@@ -118,6 +119,12 @@
                 "evacuation_held_total",
                 "Requests held back because of an evacuation.",
             ),
+            reduced_endpoints: gauge_vec(
+                &registry,
+                "reduced_endpoints",
+                "Endpoints whose learned capacity is below full.",
+                "pool",
+            ),
             dropped_records: gauge(&registry, "dropped_log_records", "Log records dropped."),
             registry,
         };
@@ -167,6 +174,12 @@
             .inc();
     }
 
+    /// Sets the number of endpoints of a pool whose learned capacity is below full.
+    pub fn set_reduced_endpoints(&self, pool: &str, count: usize) {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.reduced_endpoints.with_label_values(&[pool]).set(count);
+    }
+
     /// Records the time to the first event.
     pub fn first_event(&self, kind: &str, seconds: f64) {
         self.first_event.with_label_values(&[kind]).observe(seconds);
@@ -202,6 +215,15 @@
     vector
 }
 
+fn gauge_vec(registry: &Registry, metric: &str, help: &str, label: &str) -> IntGaugeVec {
+    let vector =
+        IntGaugeVec::new(Opts::new(name(metric), help), &[label]).expect("the name is valid");
+    registry
+        .register(Box::new(vector.clone()))
+        .expect("names are unique");
+    vector
+}
+
 fn histogram_vec(registry: &Registry, metric: &str, help: &str) -> HistogramVec {
     let opts = HistogramOpts::new(name(metric), help).buckets(LATENCY_BUCKETS.to_vec());
     let vector = HistogramVec::new(opts, &["kind"]).expect("the name is valid");
