Show the placement queue in metrics and logs

Gauges of queued placement requests and of searches, and a line when the queue becomes long or short again, so that an operator sees a steward under overload.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -15,7 +15,7 @@
 
 /// Messages of the log lines about a change of an instance's view or of a dependency. They have to
 /// match the messages that the instances log, word for word.
-const STATE_CHANGE_MESSAGES: [&str; 36] = [
+const STATE_CHANGE_MESSAGES: [&str; 38] = [
     "answer of an earlier era not used",
     "changes not forwarded",
     "configuration applied",
@@ -36,6 +36,8 @@
     "limit learned from a member",
     "origin of changes",
     "phase changed",
+    "placement queue is long",
+    "placement queue is short again",
     "prompt part cleared",
     "prompt part quarantined",
     "reader lost",
--- a/crates/relay/src/core/mod.rs
+++ b/crates/relay/src/core/mod.rs
@@ -176,6 +176,11 @@
         let opened_tunnels = i64::try_from(connector.opened_tunnels()).unwrap_or(i64::MAX);
         self.counters.opened_tunnels.set(opened_tunnels);
         self.counters.is_cut_off.set(connector.is_cut_off().into());
+        let driver = &self.dependencies.driver;
+        let queued = i64::try_from(driver.counts().0).unwrap_or(i64::MAX);
+        self.counters.queued_placements.set(queued);
+        let searches = i64::try_from(driver.work().searches).unwrap_or(i64::MAX);
+        self.counters.placement_searches.set(searches);
         let evacuated = self.gate().view().borrow().evacuated_domains().count();
         let evacuated = i64::try_from(evacuated).unwrap_or(i64::MAX);
         self.counters.evacuated_domains.set(evacuated);
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -48,6 +48,10 @@
     pub hosted_tunnels: IntCounter,
     /// 1 while this instance is cut off from the endpoints.
     pub is_cut_off: IntGauge,
+    /// Placement requests that wait at the dispatcher of this instance.
+    pub queued_placements: IntGauge,
+    /// Searches for a placement by the dispatcher of this instance.
+    pub placement_searches: IntGauge,
     /// Evacuated failure domains.
     pub evacuated_domains: IntGauge,
     /// Requests held back because of an evacuation.
@@ -113,6 +117,16 @@
                 "Tunnels opened for others.",
             ),
             is_cut_off: gauge(&registry, "cut_off", "Whether the endpoints are cut off."),
+            queued_placements: gauge(
+                &registry,
+                "queued_placements",
+                "Placement requests that wait at this instance's dispatcher.",
+            ),
+            placement_searches: gauge(
+                &registry,
+                "placement_searches_total",
+                "Searches for a placement by this instance's dispatcher.",
+            ),
             evacuated_domains: gauge(&registry, "evacuated_domains", "Evacuated failure domains."),
             evacuation_refusals: gauge(
                 &registry,
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -1,6 +1,6 @@
 //! Placement requests: where they are sent, and the task that drives the local dispatcher.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use policy::dispatch::placement::{
     EndpointInfo, InFlightRun, PlacementDecision, PlacementRequest, RunKey, RunReport,
 };
-use policy::dispatch::{CapacityChange, DispatchLimits, Dispatcher};
+use policy::dispatch::{CapacityChange, DispatchLimits, DispatchWork, Dispatcher};
 use policy::ids::{EndpointId, Millis, PoolId};
 use policy::outcome::{Refusal, RefusalReason};
 use policy::poison::Fingerprint;
@@ -26,6 +26,10 @@
 /// Interval of the placement rounds while requests wait: short against a pass of an engine.
 const DISPATCH_PERIOD: Duration = Duration::from_millis(15);
 
+/// Number of waiting placement requests from which the queue is logged as long, and below which it is
+/// logged as short again: more than a calm fleet queues, and about what one round decides.
+const LONG_QUEUE: (usize, usize) = (64, 12);
+
 /// Retry-after of a placement request whose dispatcher dropped it, in milliseconds.
 const DROPPED_RETRY_AFTER: u64 = 500;
 
@@ -76,6 +80,8 @@
     pending: RefCell<HashMap<RunKey, oneshot::Sender<PlacementDecision>>>,
     clock: BootClock,
     wakeup: Notify,
+    /// Whether the queue has grown beyond [`LONG_QUEUE`] and has not been worked off since.
+    is_queue_long: Cell<bool>,
 }
 
 impl DispatcherDriver {
@@ -91,6 +97,7 @@
             pending: RefCell::new(HashMap::new()),
             clock,
             wakeup: Notify::new(),
+            is_queue_long: Cell::new(false),
         }
     }
 
@@ -257,6 +264,34 @@
         self.run_round(Dispatcher::decide_after_change);
     }
 
+    fn log_queue(&self, dispatcher: &Dispatcher, elapsed_ms: f64) {
+        let (queued, placed) = dispatcher.counts();
+        let (long, short) = LONG_QUEUE;
+        let was_long = self.is_queue_long.get();
+        let is_long = queued >= long || was_long && queued > short;
+        if is_long == was_long {
+            return;
+        }
+        self.is_queue_long.set(is_long);
+        let message = if is_long {
+            "placement queue is long"
+        } else {
+            "placement queue is short again"
+        };
+        spdlog::info!("{message}", kv: {
+            queued = queued,
+            placed = placed,
+            round_ms = elapsed_ms,
+            searches = dispatcher.work().searches,
+        });
+    }
+
+    /// Work that the dispatcher has done so far.
+    #[must_use]
+    pub fn work(&self) -> DispatchWork {
+        self.dispatcher.borrow().work()
+    }
+
     fn run_round(&self, decide: impl FnOnce(&mut Dispatcher, Millis) -> DecisionList) {
         let started_at = Instant::now();
         let decisions = {
@@ -264,6 +299,7 @@
             let decisions = decide(&mut dispatcher, self.clock.now());
             let elapsed_ms = started_at.elapsed().as_secs_f64() * 1_000.0;
             dispatcher.round_took(elapsed_ms, self.clock.now());
+            self.log_queue(&dispatcher, elapsed_ms);
             decisions
         };
         for (key, decision) in decisions {
