Eject engines whose first events are overdue

Change: the dispatcher ejects the host of an unshared run after three times its expected time and a second, as it did when such runs were abandoned. serve_burst of the dispatch tests ends the runs that it leaves, which counted as overdue in the next burst; its bounds are unchanged.

Not traced and listed: two tests of leaving_endpoint that failed once each.

--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -90,6 +90,7 @@
             budget: RetryBudget::new(self.limits.retries.clone()),
             outages: OutageTable::default(),
             short_gauge: ShortQueueGauge::default(),
+            next_overdue_check: 0,
             work: DispatchWork::default(),
         };
         self.pools.insert(pool.clone(), pool_dispatcher);
@@ -240,6 +241,7 @@
         self.next_round_at = now + self.limits.round_interval;
         let mut decisions = Vec::new();
         for pool_dispatcher in self.pools.values_mut() {
+            pool_dispatcher.eject_overdue(now);
             pool_dispatcher.decide(&self.limits, &mut self.rates, now, &mut decisions);
         }
         self.forget_refused(&decisions);
--- a/crates/policy/src/dispatch/pool_dispatcher.rs
+++ b/crates/policy/src/dispatch/pool_dispatcher.rs
@@ -26,6 +26,15 @@
 /// Retry-after of a request that no endpoint can serve, in milliseconds.
 pub(super) const NO_ENDPOINT_RETRY_AFTER: Millis = 700;
 
+/// Multiple of its expected time after which, with [`OVERDUE_SLACK_MS`], a first event is overdue.
+const OVERDUE_TIMES: f64 = 3.0;
+
+/// Longest pass of an engine that meets its pause targets, in milliseconds.
+const OVERDUE_SLACK_MS: f64 = 1_000.0;
+
+/// Interval of the checks for overdue first events, in milliseconds: short against the slack.
+const OVERDUE_CHECK_PERIOD: Millis = 100;
+
 /// A run in flight.
 #[derive(Debug, Clone)]
 pub(super) struct PlacedRun {
@@ -35,6 +44,8 @@
     placed_at: Millis,
     /// Expected time until the first event when the run was placed, in milliseconds.
     first_event_ms: f64,
+    /// Whether the first event was found to be overdue.
+    is_overdue: bool,
     /// Largest slowdown of its engines when the run was placed.
     slowdown: f64,
     pub(super) fingerprint: Fingerprint,
@@ -79,6 +90,8 @@
     pub(super) budget: RetryBudget,
     pub(super) outages: OutageTable,
     pub(super) short_gauge: ShortQueueGauge,
+    /// When runs are next checked for overdue first events.
+    pub(super) next_overdue_check: Millis,
     pub(super) work: DispatchWork,
 }
 
@@ -180,6 +193,8 @@
                 }
                 return;
             }
+            // The overdue first event has counted already.
+            RunOutcome::Silent if run.is_overdue => return,
             RunOutcome::NotConnected => FailureKind::Unresponsive,
             RunOutcome::Silent if run.engines.len() == 1 => FailureKind::Unresponsive,
             // With helpers, silence does not show which of the engines is unresponsive.
@@ -275,6 +290,32 @@
         Some(Refusal::new(RefusalReason::Overloaded, retry_after))
     }
 
+    /// Ejects the hosts of runs whose first event is overdue.
+    ///
+    /// An instance may wait longer for an engine that says that it is busy, and reports nothing
+    /// meanwhile. Without the ejection a full engine, which its cost model takes for idle, would get
+    /// more and more requests.
+    pub(super) fn eject_overdue(&mut self, now: Millis) {
+        if now < self.next_overdue_check {
+            return;
+        }
+        self.next_overdue_check = now + OVERDUE_CHECK_PERIOD;
+        for run in self.runs.values_mut() {
+            let limit_ms = run.first_event_ms * OVERDUE_TIMES + OVERDUE_SLACK_MS;
+            let elapsed_ms = u64_to_f64(now.saturating_sub(run.placed_at));
+            let is_unshared = run.engines.len() == 1;
+            let is_new = run.phase == RunPhase::Prefill && !run.is_overdue;
+            if !is_new || !is_unshared || elapsed_ms <= limit_ms {
+                continue;
+            }
+            run.is_overdue = true;
+            let host = &mut self.endpoints[run.engines[0]];
+            if !host.is_evacuated() {
+                host.health.failed(FailureKind::Unresponsive, now);
+            }
+        }
+    }
+
     /// Decides on all queued requests.
     pub(super) fn decide(
         &mut self,
@@ -499,6 +540,7 @@
             phase: RunPhase::Prefill,
             placed_at: now,
             first_event_ms: plan.first_event_ms,
+            is_overdue: false,
         };
         self.runs.insert(key, run);
         grant
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -848,6 +848,9 @@
             }
         }
     }
+    for (_, run) in running {
+        dispatcher.finish(run, &RunReport::new(RunOutcome::Served), until);
+    }
     (hosted, refused)
 }
 
--- a/crates/policy/tests/dispatch_overload.rs
+++ b/crates/policy/tests/dispatch_overload.rs
@@ -178,3 +178,28 @@
     assert!(!dispatcher.is_round_due(1_100 + limits.round_interval));
     assert!(dispatcher.is_round_due(1_100 + 150));
 }
+
+/// Guards against an engine that is full with work that the dispatcher does not know of, and gets ever
+/// more requests because its first events never arrive.
+#[test]
+fn engine_with_an_overdue_first_event_gets_no_more_requests() {
+    let mut dispatcher = dispatcher(2);
+    let host_of = |dispatcher: &mut Dispatcher, number: u64, now: Millis| {
+        let key = RunKey::new(1, number);
+        assert_eq!(dispatcher.submit(key, short(), now), None);
+        let mut decisions = dispatcher.decide_after_change(now);
+        match decisions.pop() {
+            Some((_, PlacementDecision::Granted(grant))) => grant.host.endpoint,
+            other => panic!("request {number} was not placed: {other:?}"),
+        }
+    };
+    let full = host_of(&mut dispatcher, 1, 0);
+    let before = host_of(&mut dispatcher, 2, 500);
+    assert_eq!(
+        before, full,
+        "short requests join the engine with most of them"
+    );
+    dispatcher.first_event(RunKey::new(1, 2), 600);
+    let after = host_of(&mut dispatcher, 3, 1_500);
+    assert_ne!(after, full);
+}
