--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -198,7 +198,7 @@
         }
     }
 
-    /// Learns from an answered call, or from one whose answer was awaited in vain.
+    /// Learns from an answered call, or from one that got no answer.
     fn record_duration(
         &mut self,
         endpoint: &EndpointId,
--- a/crates/policy/src/cold_limit.rs
+++ b/crates/policy/src/cold_limit.rs
@@ -87,9 +87,9 @@
     limit: ColdLimit,
     /// Time from which the interval before the next grant counts.
     due_at: f64,
-    /// Part of an interval by which the first grant is put off.
+    /// Part of an interval by which the first grant is delayed.
     phase: f64,
-    /// Time by which the next grant is put off beyond that, for grants shortly before the limit began,
+    /// Time by which the next grant is delayed beyond that, for grants shortly before the limit began,
     /// in intervals.
     excess: f64,
 }
@@ -113,7 +113,7 @@
         }
     }
 
-    /// Replaces the limit; the pace goes on.
+    /// Replaces the limit and keeps the pace.
     pub(crate) fn set_limit(&mut self, limit: ColdLimit) {
         self.limit = limit;
     }
--- a/crates/policy/src/first_event_wait.rs
+++ b/crates/policy/src/first_event_wait.rs
@@ -97,7 +97,7 @@
 /// What an engine's answer means for a run.
 #[derives::tag]
 pub enum WaitDecision {
-    /// The engine is busy: the wait goes on until the new limit.
+    /// The engine is busy: the wait continues until the new limit.
     Continue,
     /// The engine is busy: the run is awaited until the caller's time ends.
     ContinueToEnd,
--- a/crates/policy/src/learned_capacity.rs
+++ b/crates/policy/src/learned_capacity.rs
@@ -38,7 +38,7 @@
 struct LoadCell {
     slowdown: f64,
     updated_at: Millis,
-    /// The two measurements before the next one; the known slowdown stands for missing ones.
+    /// The two measurements before the next one; the known slowdown replaces missing ones.
     recent: [Option<f64>; 2],
 }
 
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -90,7 +90,7 @@
     recent: HashMap<EndpointId, RecentGrants>,
     /// Part of each limit that this dispatcher may use, above zero and at most one.
     share: f64,
-    /// Part of an interval by which the first grant to a cold endpoint is put off.
+    /// Part of an interval by which the first grant to a cold endpoint is delayed.
     phase: f64,
 }
 
@@ -113,7 +113,7 @@
         Self::default()
     }
 
-    /// Sets the part of an interval, below one, by which the first grant to a cold endpoint is put off.
+    /// Sets the part of an interval, below one, by which the first grant to a cold endpoint is delayed.
     /// It should differ between instances.
     pub fn set_phase(&mut self, phase: f64) {
         self.phase = phase.clamp(0.0, 1.0);
