Review case 6: an order runs twice after a worker's own 500 that names the worker

Cause: Instance-Id in any answer but a success is taken for the statement that the request was not run.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod http;
 mod json;
+mod orders;
 mod record;
 mod relay;
 mod store;
@@ -34,6 +35,7 @@
     let (program, directory) = (Path::new(program), Path::new(directory));
     let verdict = match case.as_str() {
         "entry-removed" => streams::entry_removed(program, directory, &record, has_trouble),
+        "failing-worker" => orders::failing_worker(program, directory, &record, has_trouble),
         "at-limit" => streams::at_limit(program, directory, &record, has_trouble),
         _ => Verdict::NotRun,
     };
