--- /dev/null
+++ b/review/standins-3/src/main.rs
@@ -0,0 +1,58 @@
+//! The cases of the third review that are scripts. Usage: `review-3 CASE FOLDER`, in the root of the
+//! repository. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+
+mod cases;
+mod config;
+mod engine;
+mod http;
+mod json;
+mod random;
+mod record;
+mod relay;
+mod slow_client;
+mod store;
+mod worker;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use crate::record::Record;
+
+/// What a case found.
+pub enum Verdict {
+    Broken,
+    Held,
+    NotRun,
+}
+
+fn main() -> ExitCode {
+    let mut words = std::env::args().skip(1);
+    let (Some(case), Some(folder)) = (words.next(), words.next()) else {
+        return ExitCode::from(2);
+    };
+    let record = Record::new(&PathBuf::from(folder));
+    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    record.say(if has_trouble { "with the disruption" } else { "without the disruption" });
+    let verdict = match case.as_str() {
+        "slow-reader" => cases::slow_reader::run(&record, has_trouble),
+        "late-crash" => cases::late_crash::run(&record, has_trouble),
+        "cut-readers" => cases::cut_readers::run(&record, has_trouble),
+        "cut-watches" => cases::cut_watches::run(&record, has_trouble),
+        "late-renewal" => cases::late_renewal::run(&record, has_trouble),
+        _ => Verdict::NotRun,
+    };
+    match verdict {
+        Verdict::Broken => {
+            record.say("the rule was broken");
+            ExitCode::from(1)
+        }
+        Verdict::Held => {
+            record.say("the rule held");
+            ExitCode::SUCCESS
+        }
+        Verdict::NotRun => {
+            record.say("the case could not run");
+            ExitCode::from(2)
+        }
+    }
+}
