--- a/review/standins-3/src/config.rs
+++ b/review/standins-3/src/config.rs
@@ -28,7 +28,9 @@
             let engine = memory.map_or_else(String::new, |memory| format!(
                 r#","engine":{{"slots":16,"kvCapacity":{memory},"stride":51,"step_ms":0.85,"per_seq_ms":0.00425,"context_per_k":0.00285,"read_per_s":177000.0,"pairs_per_m":0.184,"chunk":2048,"hopMs":0.05,"usual":{{"prompt":5000,"answer":1600}},"report_lag_ms":200}}"#
             ));
-            format!(r#"{{"name":"{name}","healthPath":"/healthz","maxConns":354,"protocol":"h1","tls":false{engine}}}"#)
+            format!(
+                r#"{{"name":"{name}","healthPath":"/healthz","maxConns":354,"protocol":"h1","tls":false{engine}}}"#
+            )
         };
         let services: Vec<String> = self.services.iter().map(service).collect();
         let keys: Vec<String> = self.keys.iter().map(|key| format!("\"{key}\"")).collect();
@@ -44,7 +46,16 @@
 
 impl Route {
     fn to_json(&self) -> String {
-        let Route { prefix, kind, service, is_resumable, timeout_ms, slo_ms, gap_aim_ms, attempts } = self;
+        let Route {
+            prefix,
+            kind,
+            service,
+            is_resumable,
+            timeout_ms,
+            slo_ms,
+            gap_aim_ms,
+            attempts,
+        } = self;
         let name = prefix.trim_matches('/');
         format!(
             r#"{{"name":"{name}","host":"{HOST}","prefix":"{prefix}","kind":"{kind}","timeoutMs":{timeout_ms},"sloMs":{slo_ms},"gapAimMs":{gap_aim_ms},"priority":1,"backend":"{service}","attempts":{attempts},"public":false,"resumable":{is_resumable},"sticky":true}}"#
@@ -66,7 +77,15 @@
 
 impl ClientRequest<'_> {
     pub fn to_bytes(&self) -> Vec<u8> {
-        let ClientRequest { method, path, id, deadline_ms, key, lines, body } = self;
+        let ClientRequest {
+            method,
+            path,
+            id,
+            deadline_ms,
+            key,
+            lines,
+            body,
+        } = self;
         format!(
             "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\nAuthorization: Token {key}\r\n{lines}Content-Length: {}\r\n\r\n{body}",
             body.len()
--- a/review/standins-3/src/engine.rs
+++ b/review/standins-3/src/engine.rs
@@ -86,7 +86,11 @@
                 let hold = Duration::from_millis(order.get("holdMs").map_or(0, Json::number));
                 let expires = Instant::now() + hold;
                 let former = state.tickets.insert(id.clone(), Ticket { expires });
-                let op = if former.is_some() { "renewed" } else { "set aside" };
+                let op = if former.is_some() {
+                    "renewed"
+                } else {
+                    "set aside"
+                };
                 self.record.line(&format!("memory {id} {op} for {hold:?}"));
                 200
             }
@@ -146,20 +150,30 @@
 
 pub fn write_order_answer(writer: &mut TcpStream, status: u16) -> bool {
     let body = r#"{"free":100000}"#;
-    let lines = format!("Content-Type: application/json\r\nContent-Length: {}\r\n", body.len());
+    let lines = format!(
+        "Content-Type: application/json\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     write(writer, &(head(status, "", &lines) + body))
 }
 
 /// Answers `GET /report`.
 pub fn answer_report(writer: &mut TcpStream) -> bool {
     let body = r#"{"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":0,"queued":0,"running":1,"kvUsed":0,"kvTotal":100000,"handles":0,"pace":1}"#;
-    let lines = format!("Content-Type: application/json\r\nContent-Length: {}\r\n", body.len());
+    let lines = format!(
+        "Content-Type: application/json\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     write(writer, &(head(200, "", &lines) + body))
 }
 
 /// The tickets that a request names in `Helpers`, as `address/id`.
 pub fn helpers(request: &Request) -> Vec<(String, String)> {
     let helpers = request.header("helpers").unwrap_or("");
-    let entries = helpers.split(',').filter_map(|entry| entry.trim().split_once('/'));
-    entries.map(|(address, id)| (address.to_owned(), id.to_owned())).collect()
+    let entries = helpers
+        .split(',')
+        .filter_map(|entry| entry.trim().split_once('/'));
+    entries
+        .map(|(address, id)| (address.to_owned(), id.to_owned()))
+        .collect()
 }
--- a/review/standins-3/src/json.rs
+++ b/review/standins-3/src/json.rs
@@ -165,7 +165,9 @@
         let bits = byte(0) << 16 | byte(1) << 8 | byte(2);
         for place in 0..4 {
             if place <= chunk.len() {
-                text.push(char::from(LETTERS[(bits >> (18 - 6 * place) & 63) as usize]));
+                text.push(char::from(
+                    LETTERS[(bits >> (18 - 6 * place) & 63) as usize],
+                ));
             } else {
                 text.push('=');
             }
