--- a/review/standins-3/src/cases/mod.rs
+++ b/review/standins-3/src/cases/mod.rs
@@ -1,5 +1,5 @@
-pub mod cut_readers;
 pub mod cut_watches;
+pub mod hung_host;
 pub mod late_crash;
 pub mod older_start;
 pub mod slow_reader;
--- a/review/standins-3/src/engine.rs
+++ b/review/standins-3/src/engine.rs
@@ -131,6 +131,15 @@
 }
 
 impl TicketHistory {
+    /// The longest span in which the memory was set aside and no request used it before or during it.
+    pub fn longest_idle(&self) -> Duration {
+        if self.uses > 0 {
+            return Duration::ZERO;
+        }
+        let spans = self.held.iter().map(|(from, to)| *to - *from);
+        spans.max().unwrap_or_default()
+    }
+
     /// The longest span in which the memory was set aside later than `free` after the end of the last
     /// request that used it.
     pub fn longest_leak(&self, free: Duration) -> Duration {
--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -117,6 +117,17 @@
     Ok(Some(request))
 }
 
+/// Whether the other side has closed the connection, or sent what nobody waits for.
+pub fn is_gone(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let peeked = stream.peek(&mut [0]);
+    let _ = stream.set_nonblocking(false);
+    match peeked {
+        Ok(count) => count == 0,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
+}
+
 /// What a client saw of an answer.
 #[derive(Debug, Clone, Default)]
 pub struct Answer {
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod http;
 mod json;
+mod random;
 mod record;
 mod relay;
 mod slow_client;
@@ -39,8 +40,8 @@
     });
     let run = || match case.as_str() {
         "slow-reader" => cases::slow_reader::run(&record, has_trouble),
+        "hung-host" => cases::hung_host::run(&record, has_trouble),
         "late-crash" => cases::late_crash::run(&record, has_trouble),
-        "cut-readers" => cases::cut_readers::run(&record, has_trouble),
         "older-start" => cases::older_start::run(&record, has_trouble),
         "cut-watches" => cases::cut_watches::run(&record, has_trouble),
         _ => Verdict::NotRun,
