--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -1,5 +1,5 @@
-//! The cases of the third review that are scripts. Usage: `review-3 CASE FOLDER`, in the root of the
-//! repository. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+//! The cases of the third review that are scripts. Usage: `review-3 CASE RECORD`, in the root of the
+//! repository; RECORD is the file that the record is written to. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod cases;
 mod config;
@@ -28,10 +28,10 @@
 
 fn main() -> ExitCode {
     let mut words = std::env::args().skip(1);
-    let (Some(case), Some(folder)) = (words.next(), words.next()) else {
+    let (Some(case), Some(record_file)) = (words.next(), words.next()) else {
         return ExitCode::from(2);
     };
-    let record = Record::new(&PathBuf::from(folder));
+    let record = Record::new(&PathBuf::from(record_file));
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     record.say(if has_trouble {
         "with the disruption"
--- a/review/standins-3/src/record.rs
+++ b/review/standins-3/src/record.rs
@@ -13,8 +13,8 @@
 }
 
 impl Record {
-    pub fn new(folder: &Path) -> Self {
-        let file = File::create(folder.join("record.txt")).expect("the folder is writable");
+    pub fn new(path: &Path) -> Self {
+        let file = File::create(path).expect("the record is writable");
         Self {
             file: Arc::new(Mutex::new(file)),
             started: Instant::now(),
